--- /dev/null
+++ b/core/conf/diff.go
@@ -0,0 +1,107 @@
+package conf
+
+import (
+	"fmt"
+	"strings"
+
+	"hyssoppitch/core/model"
+)
+
+// contextLines is the number of unchanged lines shown around a change.
+const contextLines = 2
+
+// Diff returns the lines in which two configurations differ, "-" before those of
+// a only and "+" before those of b only, or "" when they declare the same.
+// Version and change identity are left out of the comparison.
+func Diff(a, b model.Config) (text string, err error) {
+	a.Version, b.Version = 0, 0
+	a.Change, b.Change = "", ""
+	from, err := Print(a)
+	if err != nil {
+		return "", err
+	}
+	to, err := Print(b)
+	if err != nil {
+		return "", err
+	}
+	return diffLines(strings.Split(string(from), "\n"), strings.Split(string(to), "\n")), nil
+}
+
+// diffLines trims the common head and tail, then aligns the rest by its longest
+// common subsequence.
+func diffLines(a, b []string) string {
+	head := 0
+	for head < len(a) && head < len(b) && a[head] == b[head] {
+		head++
+	}
+	if head == len(a) && head == len(b) {
+		return ""
+	}
+	tail := 0
+	for tail < len(a)-head && tail < len(b)-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	var out strings.Builder
+	for _, line := range a[max(0, head-contextLines):head] {
+		fmt.Fprintf(&out, "  %s\n", line)
+	}
+	writeAligned(&out, a[head:len(a)-tail], b[head:len(b)-tail])
+	for _, line := range a[len(a)-tail : min(len(a), len(a)-tail+contextLines)] {
+		fmt.Fprintf(&out, "  %s\n", line)
+	}
+	return out.String()
+}
+
+// maxAligned bounds the table of the alignment to about 16 million cells.
+const maxAligned = 4096
+
+func writeAligned(out *strings.Builder, a, b []string) {
+	if len(a) > maxAligned || len(b) > maxAligned {
+		writeAll(out, "-", a)
+		writeAll(out, "+", b)
+		return
+	}
+	length := commonLengths(a, b)
+	i, j := 0, 0
+	for i < len(a) && j < len(b) {
+		switch {
+		case a[i] == b[j]:
+			fmt.Fprintf(out, "  %s\n", a[i])
+			i++
+			j++
+		case length[i+1][j] >= length[i][j+1]:
+			fmt.Fprintf(out, "- %s\n", a[i])
+			i++
+		default:
+			fmt.Fprintf(out, "+ %s\n", b[j])
+			j++
+		}
+	}
+	writeAll(out, "-", a[i:])
+	writeAll(out, "+", b[j:])
+}
+
+func writeAll(out *strings.Builder, mark string, lines []string) {
+	for _, line := range lines {
+		fmt.Fprintf(out, "%s %s\n", mark, line)
+	}
+}
+
+// commonLengths returns, for each pair of suffixes, the length of their longest
+// common subsequence.
+func commonLengths(a, b []string) [][]int32 {
+	length := make([][]int32, len(a)+1)
+	for i := range length {
+		length[i] = make([]int32, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				length[i][j] = length[i+1][j+1] + 1
+			} else {
+				length[i][j] = max(length[i+1][j], length[i][j+1])
+			}
+		}
+	}
+	return length
+}
--- /dev/null
+++ b/core/engine/engine.go
@@ -0,0 +1,259 @@
+// Package engine owns the order in which the systems of core run: it takes a
+// batch of events and the time, runs every system over the tables, and returns
+// commands. It does no I/O, starts no goroutine and reads no clock; the same
+// events, times and seed give the same commands.
+//
+// What the systems decide is left to the packages beside this one; carrying out
+// the commands is left to io/node.
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hyssoppitch/core/claim"
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/member"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/poison"
+	"hyssoppitch/core/query"
+	"hyssoppitch/core/warm"
+)
+
+const (
+	// pauseGap is the time between two ticks that shows that the process stood
+	// still: the engine asks to be called more often than this.
+	pauseGap = 1500 * time.Millisecond
+	// upkeepInterval is the time between two runs of what is done by the clock.
+	upkeepInterval = 500 * time.Millisecond
+	// isolatedAfter is the time without store and without peers after which this
+	// instance can't know of a data centre that was taken out, and stops.
+	isolatedAfter = 3 * time.Second
+)
+
+// Engine holds all tables of an instance. It is used from one goroutine.
+type Engine struct {
+	Self     model.Instance
+	Servers  *limit.Table
+	Warm     *warm.Keeper
+	Suspects *poison.Table
+	Claims   *claim.Book
+	Queries  *query.System
+	Members  *member.View
+
+	commands []event.Command
+	config   holder
+
+	lastTick   time.Time
+	upkeepAt   time.Time
+	startedAt  time.Time
+	storeAt    time.Time
+	storeDown  bool
+	leaving    bool
+	pingNumber uint64
+	linked     []model.Instance
+	live       []model.InstanceID
+	notReady   string
+}
+
+// Options are the settings of an engine.
+type Options struct {
+	Query query.Options
+	// PerServer is the most connections to one backend server.
+	PerServer int
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// New returns an engine that has heard nothing yet.
+func New(now time.Time, self model.Instance, o Options) *Engine {
+	e := &Engine{
+		Self: self, Servers: &limit.Table{PerServer: o.PerServer}, Suspects: &poison.Table{},
+		Members: member.New(now, self), startedAt: now, lastTick: now, storeAt: now,
+	}
+	e.Warm = &warm.Keeper{Self: self.ID, Servers: e.Servers, Peers: e}
+	e.Claims = claim.NewBook(self, e)
+	e.Queries = &query.System{
+		Self: self, Options: o.Query, Servers: e.Servers, Warm: e.Warm, Suspects: e.Suspects,
+		Claims: e.Claims, Out: e, Peers: e, Rand: rand.New(rand.NewPCG(o.Seed, uint64(self.Incarnation))),
+	}
+	e.Queries.Init()
+	e.config.parts = map[conf.Digest][]byte{}
+	e.viewChanged(now)
+	return e
+}
+
+// Emit adds a command; it implements the outboxes of the systems.
+func (e *Engine) Emit(c event.Command) { e.commands = append(e.commands, c) }
+
+// Send sends a message to a linked peer.
+func (e *Engine) Send(to model.InstanceID, m event.Message) {
+	if p := e.Members.Get(to); p != nil && p.Linked {
+		e.Emit(event.SendPeer{To: to, Message: m})
+	}
+}
+
+// Broadcast sends a message to every linked peer.
+func (e *Engine) Broadcast(m event.Message) { e.broadcastBut("", m) }
+
+// broadcastBut sends a message to every linked peer but one.
+func (e *Engine) broadcastBut(but model.InstanceID, m event.Message) {
+	for _, id := range e.Members.Linked() {
+		if id != but {
+			e.Emit(event.SendPeer{To: id, Message: m})
+		}
+	}
+}
+
+// Tick takes in events in order, runs the systems, and returns the commands and
+// the time at which to be called again if nothing happens before.
+func (e *Engine) Tick(now time.Time, events []event.Event) (commands []event.Command, due time.Time) {
+	if now.Sub(e.lastTick) > pauseGap {
+		e.resumed(now)
+	}
+	e.lastTick = now
+	for _, v := range events {
+		e.take(now, v)
+	}
+	if !now.Before(e.upkeepAt) {
+		e.upkeep(now)
+		e.upkeepAt = now.Add(upkeepInterval)
+	}
+	claimsDue := e.Claims.Tick(now)
+	e.Queries.Run(now)
+	due = earliest(e.upkeepAt, claimsDue, e.Queries.Due())
+	commands = e.commands
+	e.commands = nil
+	return commands, due
+}
+
+// earliest returns the earliest of the times that are set.
+func earliest(times ...time.Time) (first time.Time) {
+	for _, t := range times {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
+
+// resumed is called after the process stood still. What it believed may be
+// outdated: it gives up duties, and does not take its own silence for that of
+// the store or its peers.
+func (e *Engine) resumed(now time.Time) {
+	e.Emit(event.StateChanged{Kind: "instance", Name: string(e.Self.ID), From: "paused", To: "running", Why: "no tick for " + now.Sub(e.lastTick).String()})
+	e.Warm.Paused(now)
+}
+
+// take hands one event to the system that it concerns.
+func (e *Engine) take(now time.Time, v event.Event) {
+	switch v := v.(type) {
+	case event.QueryArrived:
+		e.arrive(now, v)
+	case event.CallerGone:
+		e.Queries.Abandon(now, v.Query)
+	case event.AttemptEnded:
+		e.Queries.Ended(now, v)
+	case event.StatusSeen:
+		e.statusSeen(now, v)
+	case event.PlatformListed:
+		e.platformListed(now, v)
+	case event.StoreDone:
+		e.storeSeen(now, v.Result != event.StoreUnknown)
+		e.Claims.StoreDone(now, v)
+	case event.StoreSeen:
+		e.storeSeen(now, v.Reachable)
+	case event.PeerLinked:
+		e.peerLinked(now, v.Peer)
+	case event.PeerLost:
+		e.Members.Unlink(v.Peer)
+	case event.PeerReceived:
+		e.peerReceived(now, v.From, v.Message)
+	case event.RootSeen:
+		e.rootSeen(v.Root, v.From)
+	case event.PartSeen:
+		e.partSeen(v)
+	case event.ShutdownBegun:
+		e.leaving = true
+	}
+}
+
+// arrive admits a request unless this instance takes no work.
+func (e *Engine) arrive(now time.Time, v event.QueryArrived) {
+	if why := e.NotReady(now); why != "" && !e.leaving {
+		e.Emit(event.Refuse{
+			Query: v.Query, Class: v.Request.Class, Code: event.RefuseNotReady, Outcome: event.OutcomeNotRun,
+			Detail: why, RetryAfter: time.Second,
+		})
+		return
+	}
+	e.Queries.Arrive(now, v.Query, v.Request)
+}
+
+// NotReady returns why this instance should get no new requests, or "". A leaving
+// instance still serves what the balancer sends it.
+func (e *Engine) NotReady(now time.Time) string {
+	switch {
+	case e.leaving:
+		return "this instance is leaving"
+	case e.config.inForce.Version == 0:
+		return "no configuration yet: neither the store nor a peer has given one"
+	case e.Isolated(now):
+		return "cut off from the store and from every peer, so a change of configuration would not be seen"
+	case !e.heardServers():
+		return "no backend server has been heard of yet"
+	}
+	return ""
+}
+
+// heardServers reports whether any server of the configuration has been heard of.
+func (e *Engine) heardServers() bool {
+	for _, b := range e.Servers.Rows {
+		if b.State != limit.Unknown {
+			return true
+		}
+	}
+	return len(e.Servers.Rows) == 0
+}
+
+// Isolated reports whether neither the store nor any peer has been heard for too
+// long.
+func (e *Engine) Isolated(now time.Time) bool {
+	return now.Sub(e.lastContact()) > isolatedAfter
+}
+
+// lastContact returns when the store or a peer was last heard.
+func (e *Engine) lastContact() time.Time {
+	last := e.storeAt
+	for _, m := range e.Members.Rows() {
+		if m.Linked && m.HeardAt.After(last) {
+			last = m.HeardAt
+		}
+	}
+	return last
+}
+
+func (e *Engine) storeSeen(now time.Time, reachable bool) {
+	if reachable {
+		e.storeAt = now
+	}
+	if reachable == e.storeDown {
+		from, to := "reachable", "unreachable"
+		if reachable {
+			from, to = to, from
+		}
+		e.Emit(event.StateChanged{Kind: "store", Name: "store", From: from, To: to})
+	}
+	e.storeDown = !reachable
+}
+
+// Config returns the configuration in force.
+func (e *Engine) Config() model.Config { return e.config.inForce }
+
+// StoreDown reports whether the store's last call went unanswered.
+func (e *Engine) StoreDown() bool { return e.storeDown }
+
+// Leaving reports whether this instance is leaving.
+func (e *Engine) Leaving() bool { return e.leaving }
--- /dev/null
+++ b/core/engine/peers.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+)
+
+// peerLinked greets a new peer with all that it may lack.
+func (e *Engine) peerLinked(now time.Time, p model.Instance) {
+	e.spreadMembers(now, "", e.Members.Link(now, p))
+	e.Send(p.ID, event.Message{Members: &event.Members{News: e.Members.All(), Whole: true}})
+	if e.config.inForce.Version != 0 {
+		e.Send(p.ID, event.Message{Root: &event.RootNews{Root: e.config.root}})
+	}
+	if news := e.serverNews(); len(news) > 0 {
+		e.Send(p.ID, event.Message{Servers: &event.Servers{News: news}})
+	}
+	e.Emit(event.StateChanged{Kind: "peer", Name: string(p.ID), To: "linked"})
+	e.viewChanged(now)
+}
+
+// serverNews returns what this instance knows of the servers that it has heard.
+func (e *Engine) serverNews() (news []event.ServerNews) {
+	for _, b := range e.Servers.Rows {
+		if b.Boot != "" && b.State != limit.Down && b.State != limit.Unknown {
+			news = append(news, b.News())
+		}
+	}
+	return news
+}
+
+// peerReceived handles a message from a peer.
+func (e *Engine) peerReceived(now time.Time, from model.InstanceID, m event.Message) {
+	e.Members.Heard(now, from)
+	switch {
+	case m.Ping != nil:
+		e.pinged(from, m.Ping)
+	case m.Pong != nil:
+		e.compare(from, m.Pong.View, m.Pong.Version)
+	case m.Members != nil:
+		e.spreadMembers(now, from, e.Members.Apply(now, m.Members.News))
+	case m.Root != nil:
+		e.rootSeen(m.Root.Root, from)
+	case m.GetRoot != nil:
+		if e.config.inForce.Version != 0 {
+			e.Send(from, event.Message{Root: &event.RootNews{Root: e.config.root}})
+		}
+	case m.GetParts != nil:
+		e.giveParts(from, m.GetParts)
+	case m.Part != nil:
+		e.partSeen(*m.Part)
+	case m.Servers != nil:
+		e.serversTold(now, from, m.Servers.News)
+	case m.Want != nil:
+		e.Warm.Wanted(now, from, *m.Want)
+	case m.Grant != nil:
+		e.granted(now, from, *m.Grant)
+	case m.Returned != nil:
+		if b, warmed := e.Warm.Returned(now, from, *m.Returned); b != nil {
+			if warmed {
+				e.Queries.Warmed(b)
+			}
+			e.Queries.ServerChanged(b)
+		}
+	case m.Suspects != nil:
+		e.Suspects.Apply(now, *m.Suspects)
+	}
+}
+
+func (e *Engine) granted(now time.Time, from model.InstanceID, g event.Grant) {
+	e.Warm.Granted(now, from, g)
+	if b := e.Servers.Get(g.Server); b != nil {
+		e.Queries.ServerChanged(b)
+	}
+}
+
+func (e *Engine) pinged(from model.InstanceID, p *event.Ping) {
+	e.Send(from, event.Message{Pong: &event.Pong{
+		Sequence: p.Sequence, View: e.Members.Digest(), Version: e.config.inForce.Version,
+	}})
+	e.compare(from, p.View, p.Version)
+}
+
+// compare sends a peer what it lacks: the whole view if it differs, the root if
+// the peer's is older.
+func (e *Engine) compare(from model.InstanceID, view, version uint64) {
+	if m := e.Members.Get(from); m != nil {
+		m.Version = version
+	}
+	if view != e.Members.Digest() {
+		e.Send(from, event.Message{Members: &event.Members{News: e.Members.All(), Whole: true}})
+	}
+	if version < e.config.inForce.Version {
+		e.Send(from, event.Message{Root: &event.RootNews{Root: e.config.root}})
+	}
+}
+
+func (e *Engine) giveParts(to model.InstanceID, g *event.GetParts) {
+	for _, d := range g.Digests {
+		if data, ok := e.config.parts[d]; ok {
+			e.Send(to, event.Message{Part: &event.PartSeen{Digest: d, Data: data}})
+		}
+	}
+}
+
+// serversTold takes in peers' word on servers and passes on what was new.
+func (e *Engine) serversTold(now time.Time, from model.InstanceID, news []event.ServerNews) {
+	var fresh []event.ServerNews
+	for _, n := range news {
+		b := e.Servers.Get(n.Server)
+		if b == nil {
+			continue
+		}
+		before := b.State
+		if n.Boot != b.Boot && b.State != limit.Unknown {
+			// The peer knows another boot: ask the server itself.
+			e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
+		}
+		if !b.Apply(n) {
+			continue
+		}
+		if b.State == limit.Warm {
+			b.Limit = e.Queries.Share(b)
+		}
+		fresh = append(fresh, n)
+		e.noteServer(now, b, before, "word of "+string(from))
+	}
+	if len(fresh) > 0 {
+		e.broadcastBut(from, event.Message{Servers: &event.Servers{News: fresh}})
+	}
+}
+
+// spreadMembers passes on news of membership and recomputes what depends on it.
+func (e *Engine) spreadMembers(now time.Time, from model.InstanceID, fresh []event.MemberNews) {
+	if len(fresh) == 0 {
+		return
+	}
+	for _, n := range fresh {
+		e.Emit(event.StateChanged{Kind: "member", Name: string(n.Instance.ID), To: n.State.String()})
+	}
+	e.broadcastBut(from, event.Message{Members: &event.Members{News: fresh}})
+	e.viewChanged(now)
+}
+
+// viewChanged recomputes what depends on the set of live instances.
+func (e *Engine) viewChanged(now time.Time) {
+	live := e.Members.Live()
+	if slices.Equal(live, e.live) {
+		return
+	}
+	e.live = live
+	e.Warm.Members(now, live)
+	e.Queries.Instances(len(live))
+}
+
+// Leave announces that this instance is gone: its requests are finished.
+func (e *Engine) Leave(now time.Time) []event.Command {
+	e.spreadMembers(now, "", e.Members.Leave(now))
+	commands := e.commands
+	e.commands = nil
+	return commands
+}
--- /dev/null
+++ b/core/engine/upkeep.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/member"
+	"hyssoppitch/core/model"
+)
+
+// pollInterval is the time between two reads of a server's status.
+const pollInterval = time.Second
+
+// upkeep does what is due by the clock.
+func (e *Engine) upkeep(now time.Time) {
+	e.spreadMembers(now, "", e.Members.Tick(now))
+	e.relink()
+	e.ping()
+	e.poll(now)
+	if e.config.next.Version != 0 {
+		e.fetchNext()
+	}
+	if e.config.inForce.Version == 0 {
+		e.Broadcast(event.Message{GetRoot: &event.GetRoot{}})
+	}
+	e.noteReady(now)
+}
+
+// noteReady reports a change of readiness.
+func (e *Engine) noteReady(now time.Time) {
+	why := e.NotReady(now)
+	if why == e.notReady {
+		return
+	}
+	to := "ready"
+	if why != "" {
+		to = "not-ready"
+	}
+	e.Emit(event.StateChanged{Kind: "instance", Name: string(e.Self.ID), To: to, Why: why})
+	e.notReady = why
+}
+
+// relink names the peers to keep links to, when they changed.
+func (e *Engine) relink() {
+	want := e.Members.Neighbours()
+	same := slices.EqualFunc(want, e.linked, func(a, b model.Instance) bool {
+		return a.ID == b.ID && a.Address == b.Address
+	})
+	if same {
+		return
+	}
+	e.linked = want
+	e.Emit(event.LinkPeers{Peers: want})
+}
+
+// ping pings every linked peer.
+func (e *Engine) ping() {
+	if e.pingNumber%uint64(member.PingInterval/upkeepInterval) == 0 {
+		e.Broadcast(event.Message{Ping: &event.Ping{
+			Sequence: e.pingNumber, View: e.Members.Digest(), Version: e.config.inForce.Version,
+		}})
+	}
+	e.pingNumber++
+}
+
+// poll asks for the status of the servers that are due: each is read once per
+// pollInterval, spread over the time, and sooner while it is down.
+func (e *Engine) poll(now time.Time) {
+	for i, b := range e.Servers.Rows {
+		down := b.State == limit.Down && !now.Before(b.DownUntil)
+		due := (e.pingNumber+uint64(i))%uint64(pollInterval/upkeepInterval) == 0
+		if down || due || b.State == limit.Unknown {
+			e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
+		}
+	}
+}
+
+// statusSeen takes in a server's status. It may start a drain or show another
+// boot; it never raises a limit.
+func (e *Engine) statusSeen(now time.Time, v event.StatusSeen) {
+	b := e.Servers.Get(v.Server)
+	if b == nil {
+		return
+	}
+	before := b.State
+	if !v.Reached {
+		if b.State == limit.Down {
+			b.Lost(now)
+		}
+		return
+	}
+	if !b.Seen(v.Report) {
+		b.Back()
+	}
+	switch {
+	case v.Report.Draining:
+		b.StartDrain(limit.DrainByStatus)
+	default:
+		b.EndDrain(limit.DrainByStatus)
+	}
+	e.noteServer(now, b, before, "status")
+}
+
+// noteServer reports a change of a server's state and recomputes who owns it.
+func (e *Engine) noteServer(now time.Time, b *limit.Server, before limit.State, why string) {
+	if b.State == before {
+		return
+	}
+	if b.State == limit.Cold {
+		e.Warm.Members(now, e.live)
+	}
+	e.Emit(event.StateChanged{Kind: "server", Name: string(b.ID), From: before.String(), To: b.State.String(), Why: why})
+	e.Queries.ServerChanged(b)
+}
+
+// platformListed takes in the platform's list.
+func (e *Engine) platformListed(now time.Time, v event.PlatformListed) {
+	e.Members.Listed(v.Instances)
+	for _, l := range v.Servers {
+		b := e.Servers.Get(l.ID)
+		if b == nil {
+			continue
+		}
+		before := b.State
+		if l.State == event.ListedLeaving {
+			b.StartDrain(limit.DrainByPlatform)
+		} else {
+			b.EndDrain(limit.DrainByPlatform)
+		}
+		e.noteServer(now, b, before, "platform list")
+	}
+}
--- /dev/null
+++ b/core/event/message.go
@@ -0,0 +1,159 @@
+package event
+
+import (
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/model"
+)
+
+// Message is one message between two instances. Exactly one field is set.
+type Message struct {
+	Hello    *Hello     `cbor:"1,keyasint,omitempty"`
+	Ping     *Ping      `cbor:"2,keyasint,omitempty"`
+	Pong     *Pong      `cbor:"3,keyasint,omitempty"`
+	Members  *Members   `cbor:"4,keyasint,omitempty"`
+	Root     *RootNews  `cbor:"5,keyasint,omitempty"`
+	GetParts *GetParts  `cbor:"6,keyasint,omitempty"`
+	Part     *PartSeen  `cbor:"7,keyasint,omitempty"`
+	Servers  *Servers   `cbor:"8,keyasint,omitempty"`
+	Want     *Want      `cbor:"9,keyasint,omitempty"`
+	Grant    *Grant     `cbor:"10,keyasint,omitempty"`
+	Returned *Returned  `cbor:"11,keyasint,omitempty"`
+	Suspects *Suspicion `cbor:"12,keyasint,omitempty"`
+	GetRoot  *GetRoot   `cbor:"13,keyasint,omitempty"`
+}
+
+// Hello opens a link and names its sender.
+type Hello struct {
+	Self model.Instance `cbor:"1,keyasint"`
+}
+
+// Ping asks a peer whether it is there.
+type Ping struct {
+	// Sequence is repeated in the Pong.
+	Sequence uint64 `cbor:"1,keyasint"`
+	// View is a digest of the sender's membership view.
+	View uint64 `cbor:"2,keyasint"`
+	// Version is the configuration in force at the sender.
+	Version uint64 `cbor:"3,keyasint"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	View     uint64 `cbor:"2,keyasint"`
+	Version  uint64 `cbor:"3,keyasint"`
+}
+
+// MemberState is what an instance believes of another.
+type MemberState int
+
+// The states of a member. For one incarnation a higher state overrides a lower.
+const (
+	MemberAlive MemberState = iota + 1
+	MemberSuspect
+	MemberDead
+	MemberLeft
+)
+
+// String returns the name used in logs and status.
+func (s MemberState) String() string {
+	names := [...]string{"none", "alive", "suspect", "dead", "left"}
+	if s < 0 || int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
+// MemberNews is one member's state.
+type MemberNews struct {
+	Instance model.Instance `cbor:"1,keyasint"`
+	State    MemberState    `cbor:"2,keyasint"`
+}
+
+// Members carries changes of membership, or the whole view.
+type Members struct {
+	News []MemberNews `cbor:"1,keyasint"`
+	// Whole is set when News is the sender's whole view.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+}
+
+// RootNews carries a configuration root.
+type RootNews struct {
+	Root conf.Root `cbor:"1,keyasint"`
+}
+
+// GetRoot asks a peer for its configuration root.
+type GetRoot struct{}
+
+// GetParts asks a peer for documents.
+type GetParts struct {
+	Digests []conf.Digest `cbor:"1,keyasint"`
+}
+
+// Warmth is what instances tell each other of a backend server's state.
+type Warmth int
+
+// The states that travel between instances.
+const (
+	WarmthCold Warmth = iota + 1
+	WarmthWarm
+	WarmthDraining
+)
+
+// ServerNews is one server's state in one boot. For one boot the higher
+// Generation overrides; for one generation warm overrides cold, and draining
+// overrides both.
+type ServerNews struct {
+	Server     model.ServerID `cbor:"1,keyasint"`
+	Boot       string         `cbor:"2,keyasint"`
+	Generation uint64         `cbor:"3,keyasint"`
+	Warmth     Warmth         `cbor:"4,keyasint"`
+}
+
+// Servers carries changes of servers' states.
+type Servers struct {
+	News []ServerNews `cbor:"1,keyasint"`
+}
+
+// Want asks the owner of a cold server for leave to send it one attempt.
+type Want struct {
+	Server model.ServerID `cbor:"1,keyasint"`
+}
+
+// Grant gives leave to send one attempt to a cold server.
+type Grant struct {
+	Server model.ServerID `cbor:"1,keyasint"`
+	// Number identifies the grant at its owner.
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// Returned gives a grant back, used or not.
+type Returned struct {
+	Server model.ServerID `cbor:"1,keyasint"`
+	Number uint64         `cbor:"2,keyasint"`
+	// Used is false when no attempt was sent.
+	Used bool `cbor:"3,keyasint,omitempty"`
+	// Success is set when the attempt was answered.
+	Success bool `cbor:"4,keyasint,omitempty"`
+	// LatencyMicros is the time to the answer in microseconds.
+	LatencyMicros int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// SuspicionState is what is believed of a fingerprint.
+type SuspicionState int
+
+// The states of a fingerprint. A higher state overrides a lower.
+const (
+	// SuspicionCleared: an attempt alone on a server was answered.
+	SuspicionCleared SuspicionState = iota + 1
+	// SuspicionRaised: a server died with the query in flight.
+	SuspicionRaised
+	// SuspicionCondemned: a server died with the query in flight as a suspect.
+	SuspicionCondemned
+)
+
+// Suspicion carries what is believed of a query that may crash servers.
+type Suspicion struct {
+	Fingerprint model.Fingerprint `cbor:"1,keyasint"`
+	State       SuspicionState    `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/core/limit/state.go
@@ -0,0 +1,149 @@
+package limit
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+)
+
+const (
+	firstBackoff = 200 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+)
+
+// Seen records a report of the server itself, from a reply or a status. It
+// returns true when the report shows another boot than the one known: the server
+// is then cold, whatever was known before.
+func (s *Server) Seen(r event.ServerReport) (rebooted bool) {
+	if r.Snapshots != nil {
+		s.Snapshots = r.Snapshots
+	}
+	if r.Epoch != 0 {
+		s.Epoch = r.Epoch
+	}
+	if r.Boot == "" || r.Boot == s.Boot {
+		return false
+	}
+	s.Boot = r.Boot
+	s.Drain = 0
+	s.turnCold(0)
+	if s.Announced.Boot == r.Boot {
+		s.Apply(s.Announced)
+	}
+	return true
+}
+
+// turnCold puts the server into the cold state of a generation.
+func (s *Server) turnCold(generation uint64) {
+	s.State = Cold
+	s.Generation = generation
+	s.Allowance = 1
+	s.Limit = 1
+	s.Streak, s.Slow, s.Sheds = 0, 0, 0
+	s.Latency, s.Base = 0, 0
+	s.Backoff = 0
+}
+
+// FallBack turns a warm server cold within its boot.
+func (s *Server) FallBack() { s.turnCold(s.Generation + 1) }
+
+// TurnWarm ends the cold state; share is the limit to start from.
+func (s *Server) TurnWarm(share float64) {
+	s.State = Warm
+	s.Limit = share
+	s.Streak, s.Slow, s.Sheds = 0, 0, 0
+	s.Grants, s.Waiting = nil, nil
+}
+
+// StartDrain records that a source says the server is leaving.
+func (s *Server) StartDrain(by DrainSource) {
+	s.Drain |= by
+	s.State = Draining
+}
+
+// EndDrain takes back what a source said. DrainByReply and DrainByPeer are never
+// taken back: they end only with a new boot. When no source is left the server is
+// cold: nobody has seen it at work since.
+func (s *Server) EndDrain(by DrainSource) (ended bool) {
+	if s.Drain&by == 0 {
+		return false
+	}
+	s.Drain &^= by
+	if s.Drain != 0 {
+		return false
+	}
+	s.turnCold(s.Generation + 1)
+	return true
+}
+
+// Lost records that the server could not be reached. It is tried again after a
+// backoff that doubles up to lastBackoff.
+func (s *Server) Lost(now time.Time) {
+	if s.State != Draining {
+		s.State = Down
+	}
+	s.Backoff = min(max(2*s.Backoff, firstBackoff), lastBackoff)
+	s.DownUntil = now.Add(s.Backoff)
+}
+
+// Back records that a server that was Down was reached again in the boot already
+// known. This instance holds it cold, in the same generation: if the owner sees it
+// warm, its word ends that.
+func (s *Server) Back() {
+	if s.State == Down {
+		s.turnCold(s.Generation)
+	}
+}
+
+// News returns what this instance tells others of the server. Only a drain that
+// the server announced on a request is passed on: status and platform list reach
+// every instance by themselves, and may mislead.
+func (s *Server) News() event.ServerNews {
+	w := event.WarmthCold
+	switch {
+	case s.Drain&(DrainByReply|DrainByPeer) != 0:
+		w = event.WarmthDraining
+	case s.State == Warm:
+		w = event.WarmthWarm
+	}
+	return event.ServerNews{Server: s.ID, Boot: s.Boot, Generation: s.Generation, Warmth: w}
+}
+
+// Supersedes reports whether news a overrides news b of the same boot.
+func Supersedes(a, b event.ServerNews) bool {
+	if a.Warmth == event.WarmthDraining || b.Warmth == event.WarmthDraining {
+		return a.Warmth == event.WarmthDraining && b.Warmth != event.WarmthDraining
+	}
+	if a.Generation != b.Generation {
+		return a.Generation > b.Generation
+	}
+	return a.Warmth > b.Warmth
+}
+
+// Apply takes in a peer's word. It returns true when the row changed. Word of
+// another boot is kept until the server itself shows that boot.
+func (s *Server) Apply(n event.ServerNews) (changed bool) {
+	if n.Boot != s.Boot {
+		if s.Announced.Boot != n.Boot || Supersedes(n, s.Announced) {
+			s.Announced = n
+		}
+		return false
+	}
+	if s.Boot == "" || !Supersedes(n, s.News()) || s.State == Down {
+		return false
+	}
+	switch n.Warmth {
+	case event.WarmthDraining:
+		s.StartDrain(DrainByPeer)
+	case event.WarmthWarm:
+		s.Generation = n.Generation
+		s.TurnWarm(1)
+	case event.WarmthCold:
+		s.turnCold(n.Generation)
+	}
+	return true
+}
+
+// Unqueue removes an instance from those that wait for a grant.
+func (s *Server) Unqueue(i int) { s.Waiting = slices.Delete(s.Waiting, i, i+1) }
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,302 @@
+// Package member owns the view of which instances live. It is fed by links,
+// pings, the platform's lagging list and the news that peers pass on; it says
+// which peers to link to, whom to suspect, and which instances count as live.
+//
+// News is flooded: an instance that learns something new passes it on to every
+// peer that it is linked to, once. An incarnation that is suspected refutes by a
+// higher incarnation. Duties that depend on the view are left to packages route
+// and warm; links and messages to io/peer.
+package member
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/route"
+)
+
+const (
+	// PingInterval is the time between two pings of a link.
+	PingInterval = time.Second
+	// silentAfter is the silence after which a peer is suspected.
+	silentAfter = 2 * time.Second
+	// deadAfter is how long a suspect has to refute.
+	deadAfter = 2 * time.Second
+	// forgetAfter is how long a dead instance is remembered, so that old news of
+	// it is not taken for new.
+	forgetAfter = 10 * time.Minute
+	// maxFullMesh is the number of instances up to which each links to all.
+	maxFullMesh = 12
+	// ringLinks is the number of neighbours to each side on the ring of a larger
+	// deployment.
+	ringLinks = 4
+)
+
+// Member is one row of the view.
+type Member struct {
+	model.Instance
+	State event.MemberState
+	// Since is when State was taken in.
+	Since time.Time
+	// Linked is set while a link is up; HeardAt is when it last carried anything.
+	Linked  bool
+	HeardAt time.Time
+	// Version is the configuration in force there, as last heard.
+	Version uint64
+}
+
+// Counts reports whether the member counts as live.
+func (m *Member) Counts() bool {
+	return m.State == event.MemberAlive || m.State == event.MemberSuspect
+}
+
+// View is one instance's view of all.
+type View struct {
+	// Self is this instance; its incarnation rises when it refutes a suspicion.
+	Self model.Instance
+	// rows is sorted by ID and holds Self.
+	rows []*Member
+	// listed holds the platform's list, minus Self.
+	listed []model.Instance
+	left   bool
+}
+
+// New returns a view that holds only this instance.
+func New(now time.Time, self model.Instance) *View {
+	v := &View{Self: self}
+	v.rows = []*Member{{Instance: self, State: event.MemberAlive, Since: now}}
+	return v
+}
+
+// Get returns the row of an instance, or nil.
+func (v *View) Get(id model.InstanceID) *Member {
+	i, ok := v.search(id)
+	if !ok {
+		return nil
+	}
+	return v.rows[i]
+}
+
+func (v *View) search(id model.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(v.rows, id, func(m *Member, id model.InstanceID) int {
+		return strings.Compare(string(m.ID), string(id))
+	})
+}
+
+// Rows returns the rows in order of ID.
+func (v *View) Rows() []*Member { return v.rows }
+
+// Live returns the instances that count as live, this one included unless it has
+// left, in order of ID.
+func (v *View) Live() []model.InstanceID {
+	var out []model.InstanceID
+	for _, m := range v.rows {
+		if m.Counts() {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// Linked returns the peers with a link, in order of ID.
+func (v *View) Linked() []model.InstanceID {
+	var out []model.InstanceID
+	for _, m := range v.rows {
+		if m.Linked {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// Link records a new link. It returns the news to pass on.
+func (v *View) Link(now time.Time, peer model.Instance) []event.MemberNews {
+	news := v.Apply(now, []event.MemberNews{{Instance: peer, State: event.MemberAlive}})
+	m := v.Get(peer.ID)
+	m.Linked, m.HeardAt = true, now
+	return news
+}
+
+// Unlink records the end of a link.
+func (v *View) Unlink(id model.InstanceID) {
+	if m := v.Get(id); m != nil {
+		m.Linked = false
+	}
+}
+
+// Heard records that a link carried something.
+func (v *View) Heard(now time.Time, id model.InstanceID) {
+	if m := v.Get(id); m != nil {
+		m.HeardAt = now
+	}
+}
+
+// Leave records that this instance leaves. It returns the news to pass on.
+func (v *View) Leave(now time.Time) []event.MemberNews {
+	v.left = true
+	m := v.Get(v.Self.ID)
+	m.State, m.Since = event.MemberLeft, now
+	return []event.MemberNews{{Instance: v.Self, State: event.MemberLeft}}
+}
+
+// Apply takes in news. It returns what was new, to be passed on.
+func (v *View) Apply(now time.Time, news []event.MemberNews) (fresh []event.MemberNews) {
+	for _, n := range news {
+		if n.Instance.ID == v.Self.ID {
+			fresh = append(fresh, v.refute(n)...)
+			continue
+		}
+		if v.take(now, n) {
+			fresh = append(fresh, n)
+		}
+	}
+	return fresh
+}
+
+// refute answers news of this instance's own death.
+func (v *View) refute(n event.MemberNews) []event.MemberNews {
+	if v.left || n.State == event.MemberAlive || n.Instance.Incarnation < v.Self.Incarnation {
+		return nil
+	}
+	v.Self.Incarnation = n.Instance.Incarnation + 1
+	v.Get(v.Self.ID).Instance = v.Self
+	return []event.MemberNews{{Instance: v.Self, State: event.MemberAlive}}
+}
+
+// take takes in one piece of news of another instance; it returns false when the
+// view knew better.
+func (v *View) take(now time.Time, n event.MemberNews) bool {
+	i, ok := v.search(n.Instance.ID)
+	if !ok {
+		v.rows = slices.Insert(v.rows, i, &Member{Instance: n.Instance, State: n.State, Since: now})
+		return true
+	}
+	m := v.rows[i]
+	newer := n.Instance.Incarnation > m.Incarnation ||
+		(n.Instance.Incarnation == m.Incarnation && n.State > m.State)
+	if !newer {
+		return false
+	}
+	m.Instance, m.State, m.Since = n.Instance, n.State, now
+	return true
+}
+
+// Listed takes in the platform's list of live instances. The list lags: it names
+// instances to link to, and kills none.
+func (v *View) Listed(list []event.ListedInstance) {
+	v.listed = v.listed[:0]
+	for _, l := range list {
+		if l.ID != v.Self.ID && l.State == event.ListedLive {
+			v.listed = append(v.listed, model.Instance{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre})
+		}
+	}
+}
+
+// Tick moves the states that depend on time. It returns the news to pass on.
+func (v *View) Tick(now time.Time) (fresh []event.MemberNews) {
+	for _, m := range v.rows {
+		if m.ID == v.Self.ID {
+			continue
+		}
+		switch {
+		case m.State == event.MemberAlive && v.neighbour(m.ID) && now.Sub(v.lastSign(m)) > silentAfter:
+			m.State, m.Since = event.MemberSuspect, now
+		case m.State == event.MemberSuspect && now.Sub(m.Since) > deadAfter:
+			m.State, m.Since = event.MemberDead, now
+		default:
+			continue
+		}
+		fresh = append(fresh, event.MemberNews{Instance: m.Instance, State: m.State})
+	}
+	v.rows = slices.DeleteFunc(v.rows, func(m *Member) bool {
+		return !m.Counts() && m.ID != v.Self.ID && now.Sub(m.Since) > forgetAfter
+	})
+	return fresh
+}
+
+// lastSign returns when the member was last heard or taken for alive.
+func (v *View) lastSign(m *Member) time.Time {
+	if m.HeardAt.After(m.Since) {
+		return m.HeardAt
+	}
+	return m.Since
+}
+
+// neighbour reports whether this instance is to keep a link to another, and so is
+// a judge of its silence.
+func (v *View) neighbour(id model.InstanceID) bool {
+	return slices.ContainsFunc(v.Neighbours(), func(p model.Instance) bool { return p.ID == id })
+}
+
+// Neighbours returns the instances to keep links to: all of them in a small
+// deployment; else those next to this one, to both sides, on a ring in the order
+// of a hash, so that every instance has watchers and the links make one graph.
+func (v *View) Neighbours() []model.Instance {
+	all := v.candidates()
+	if len(all) < maxFullMesh {
+		return slices.DeleteFunc(all, func(p model.Instance) bool { return p.ID == v.Self.ID })
+	}
+	ids := make([]model.InstanceID, len(all))
+	byID := make(map[model.InstanceID]model.Instance, len(all))
+	for i, p := range all {
+		ids[i] = p.ID
+		byID[p.ID] = p
+	}
+	ring := route.Holders("ring", ids, len(ids))
+	at := slices.Index(ring, v.Self.ID)
+	var out []model.Instance
+	for step := 1; step <= ringLinks; step++ {
+		out = append(out, byID[ring[(at+step)%len(ring)]], byID[ring[(at-step+len(ring))%len(ring)]])
+	}
+	// One link across the ring keeps the number of hops small.
+	out = append(out, byID[ring[(at+len(ring)/2)%len(ring)]])
+	return out
+}
+
+// candidates returns the live instances and those that the platform lists and the
+// view doesn't know to be dead, this one included.
+func (v *View) candidates() []model.Instance {
+	var out []model.Instance
+	for _, m := range v.rows {
+		if m.Counts() || m.ID == v.Self.ID {
+			out = append(out, m.Instance)
+		}
+	}
+	for _, l := range v.listed {
+		if v.Get(l.ID) == nil {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Digest returns a number that is equal for equal views.
+func (v *View) Digest() uint64 {
+	d := xxhash.New()
+	var b [16]byte
+	for _, m := range v.rows {
+		if !m.Counts() {
+			continue
+		}
+		_, _ = d.WriteString(string(m.ID))
+		binary.LittleEndian.PutUint64(b[:8], uint64(m.Incarnation))
+		binary.LittleEndian.PutUint64(b[8:], uint64(m.State))
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+// All returns the whole view as news, for a peer whose view differs.
+func (v *View) All() []event.MemberNews {
+	out := make([]event.MemberNews, len(v.rows))
+	for i, m := range v.rows {
+		out[i] = event.MemberNews{Instance: m.Instance, State: m.State}
+	}
+	return out
+}
--- /dev/null
+++ b/core/query/snapshot.go
@@ -0,0 +1,192 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+)
+
+// usable reports whether a server may get work now or soon: its data centre is
+// in, and it is warm, cold or not heard of yet.
+func (s *System) usable(b *limit.Server) bool {
+	if s.out[b.DataCentre] {
+		return false
+	}
+	return b.State == limit.Warm || b.State == limit.Cold
+}
+
+// newestSnapshot returns the newest snapshot that a usable server of every asked
+// group serves; groups without a usable server don't count. Where it can, it
+// takes one that two servers of each group serve, so that one of them may fail
+// or be slow.
+func (s *System) newestSnapshot(svc *model.Service, legs []Leg) model.Snapshot {
+	if snapshot := s.newestServedBy(svc, legs, 2); snapshot != 0 {
+		return snapshot
+	}
+	if snapshot := s.newestServedBy(svc, legs, 1); snapshot != 0 {
+		return snapshot
+	}
+	return s.widestSnapshot(svc, legs)
+}
+
+// widestSnapshot returns the snapshot that is served for the largest part of the
+// asked key space, the newer one of two: the groups share none.
+func (s *System) widestSnapshot(svc *model.Service, legs []Leg) (widest model.Snapshot) {
+	var sizes []snapshotCount
+	for i := range legs {
+		served, _ := s.servedInGroup(svc, legs[i].Group.Name, 1)
+		for _, v := range served {
+			sizes = addCount(sizes, v, int(legs[i].Group.Keys.Size()))
+		}
+	}
+	best := 0
+	for _, c := range sizes {
+		if c.count > best || (c.count == best && c.snapshot > widest) {
+			best, widest = c.count, c.snapshot
+		}
+	}
+	return widest
+}
+
+// newestServedBy returns the newest snapshot that at least least usable servers
+// of every asked group serve, or all of them where a group has fewer.
+func (s *System) newestServedBy(svc *model.Service, legs []Leg, least int) model.Snapshot {
+	var common []model.Snapshot
+	for i := range legs {
+		served, usable := s.servedInGroup(svc, legs[i].Group.Name, least)
+		if usable == 0 {
+			continue
+		}
+		if common == nil {
+			common = served
+			continue
+		}
+		common = slices.DeleteFunc(common, func(v model.Snapshot) bool { return !slices.Contains(served, v) })
+	}
+	if len(common) == 0 {
+		return 0
+	}
+	return slices.Max(common)
+}
+
+// servedInGroup returns the snapshots that at least least usable servers of a
+// group serve, and the number of usable servers. The result is not nil when there
+// are any.
+func (s *System) servedInGroup(svc *model.Service, group string, least int) (served []model.Snapshot, usable int) {
+	counts := s.snapshotCounts[:0]
+	for _, b := range s.Servers.Group(svc.Name, group) {
+		if !s.usable(b) || !b.Serves(0, svc.Epoch) {
+			continue
+		}
+		usable++
+		for _, v := range b.Snapshots {
+			counts = addCount(counts, v, 1)
+		}
+	}
+	s.snapshotCounts = counts
+	served = make([]model.Snapshot, 0, len(counts))
+	for _, c := range counts {
+		if c.count >= min(least, usable) {
+			served = append(served, c.snapshot)
+		}
+	}
+	return served, usable
+}
+
+// snapshotCount counts the servers, or the positions, that a snapshot is served
+// for.
+type snapshotCount struct {
+	snapshot model.Snapshot
+	count    int
+}
+
+func addCount(counts []snapshotCount, v model.Snapshot, n int) []snapshotCount {
+	i := slices.IndexFunc(counts, func(c snapshotCount) bool { return c.snapshot == v })
+	if i < 0 {
+		return append(counts, snapshotCount{snapshot: v, count: n})
+	}
+	counts[i].count += n
+	return counts
+}
+
+const (
+	// maxRestarts bounds how often a query starts again on a newer snapshot.
+	maxRestarts = 2
+	// restartReserve is the part of a query's time that must be left to restart.
+	restartReserve = 0.25
+)
+
+// restart starts a query again on the newest shard map and snapshot, when these
+// are newer than its own and there is time. All results so far are dropped, so
+// that no answer mixes snapshots.
+func (s *System) restart(now time.Time, q *Query) bool {
+	if q.Class.NonIdempotent || q.Round >= maxRestarts {
+		return false
+	}
+	if float64(q.AnswerBy.Sub(now)) < restartReserve*float64(q.AnswerBy.Sub(q.ArrivedAt)) {
+		return false
+	}
+	svc := s.config.Service(q.Request.Service)
+	if svc == nil {
+		return false
+	}
+	legs := legsOf(svc, q.Request.Key)
+	snapshot := s.newestSnapshot(svc, legs)
+	if svc.Epoch == q.Service.Epoch && snapshot <= q.Snapshot {
+		return false
+	}
+	s.cancelAttempts(q)
+	s.Counters.QueriesRestarted++
+	q.Round++
+	q.Service, q.Snapshot, q.Legs = svc, snapshot, legs
+	s.start(now, q)
+	return true
+}
+
+// legsOf returns the waiting legs of a request: the group that holds the key, or
+// all groups.
+func legsOf(svc *model.Service, key string) []Leg {
+	if key != "" {
+		i := svc.GroupAt(model.Position(key))
+		return []Leg{{Group: svc.Groups[i]}}
+	}
+	legs := make([]Leg, len(svc.Groups))
+	for i := range legs {
+		legs[i].Group = svc.Groups[i]
+	}
+	return legs
+}
+
+// missingFor returns the reason for which no server of a leg's group can take it,
+// or "" when one can, now or soon.
+func (s *System) missingFor(q *Query, l *Leg) event.MissingReason {
+	var offSnapshot, offEpoch, tried bool
+	for _, b := range s.Servers.Group(q.Service.Name, l.Group.Name) {
+		switch {
+		case s.out[b.DataCentre], b.State == limit.Draining, b.State == limit.Down:
+		case b.State == limit.Unknown:
+			return ""
+		case slices.Contains(l.Tried, b.ID):
+			tried = true
+		case !b.Serves(0, q.Service.Epoch):
+			offEpoch = true
+		case !b.Serves(q.Snapshot, q.Service.Epoch):
+			offSnapshot = true
+		default:
+			return ""
+		}
+	}
+	switch {
+	case offSnapshot:
+		return event.MissingSnapshot
+	case offEpoch:
+		return event.MissingEpoch
+	case tried || len(l.Tried) > 0:
+		return event.MissingFailed
+	default:
+		return event.MissingNoReplica
+	}
+}
--- /dev/null
+++ b/core/warm/warm.go
@@ -0,0 +1,299 @@
+// Package warm owns the decision of who may send to a cold backend server, so
+// that the work in flight there, summed over all instances, stays within what a
+// cold server bears.
+//
+// One instance owns each cold server, by rendezvous hashing over the live
+// instances. The owner keeps an allowance: it starts at one attempt in flight
+// and rises with success. Others send only under a grant, which counts against
+// the owner's allowance until it is returned or has expired. An instance that
+// becomes an owner waits ownerHold before it uses the allowance, so that what the
+// former owner sent has ended. Two instances with different views of who lives
+// may both own a server for as long as the views differ; the work in flight is
+// then at most the sum of their allowances, and both start at one.
+//
+// The states of servers are kept by package limit; which request goes to a cold
+// server is left to package query.
+package warm
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/route"
+)
+
+const (
+	// ownerHold is the wait of a new owner. It is longer than MaxAttempt, the
+	// longest that an attempt of the former owner can be in flight, less the
+	// time in which a silent owner is confirmed dead.
+	ownerHold = 2 * time.Second
+	// MaxAttempt is the longest that an attempt on a cold server is waited for.
+	MaxAttempt = 2 * time.Second
+	// grantUse is how long a grant may be used after it arrived.
+	grantUse = 300 * time.Millisecond
+	// grantLife is how long the owner counts a grant that is not returned.
+	grantLife = grantUse + MaxAttempt + 500*time.Millisecond
+	// wantInterval is the least time between two requests for leave.
+	wantInterval = 20 * time.Millisecond
+	// riseAfter is how many answers in a row, per attempt allowed, raise the
+	// allowance when the latency is near that of a warm server.
+	riseAfter = 4
+	// riseAnyway is how many raise it when the latency stays high: the server
+	// may be slower than its group for good.
+	riseAnyway = 24
+	// nearFactor times a warm server's latency is near it.
+	nearFactor = 2
+	// nearFloor is always near: a difference below it is noise.
+	nearFloor = 5 * time.Millisecond
+)
+
+// Sender is what Keeper needs to reach other instances.
+type Sender interface {
+	// Send queues a message for a peer; it is dropped when there is no link.
+	Send(to model.InstanceID, m event.Message)
+}
+
+// Keeper decides who sends to cold servers.
+type Keeper struct {
+	// Self is this instance.
+	Self model.InstanceID
+	// Servers is the table that the keeper works on.
+	Servers *limit.Table
+	// Peers carries the keeper's messages.
+	Peers Sender
+
+	members []model.InstanceID
+	grants  uint64
+}
+
+// Members sets the live instances, this one included, and recomputes who owns
+// each cold server.
+func (k *Keeper) Members(now time.Time, ids []model.InstanceID) {
+	k.members = ids
+	for _, s := range k.Servers.Rows {
+		k.reown(now, s)
+	}
+}
+
+// Paused gives up every duty after this process stood still: others may have
+// taken them over meanwhile.
+func (k *Keeper) Paused(now time.Time) {
+	for _, s := range k.Servers.Rows {
+		s.Owned = false
+		s.Held = nil
+		k.reown(now, s)
+	}
+}
+
+// Owner returns the instance that owns a server while it is cold.
+func (k *Keeper) Owner(s *limit.Server) model.InstanceID {
+	return route.Holder("warm/"+string(s.ID), k.members)
+}
+
+func (k *Keeper) reown(now time.Time, s *limit.Server) {
+	owned := k.Owner(s) == k.Self
+	if owned && !s.Owned {
+		s.OwnedSince = now
+		s.Allowance, s.Streak = 1, 0
+	}
+	if !owned {
+		s.Grants, s.Waiting = nil, nil
+	}
+	s.Owned = owned
+}
+
+// MaySend reports whether this instance may send one more attempt to a cold
+// server now.
+func (k *Keeper) MaySend(now time.Time, s *limit.Server) bool {
+	if s.State != limit.Cold {
+		return false
+	}
+	if s.Owned {
+		return k.room(now, s)
+	}
+	return s.Held != nil && now.Before(s.Held.UseBefore)
+}
+
+// room reports whether the owner's allowance leaves room for one more attempt.
+func (k *Keeper) room(now time.Time, s *limit.Server) bool {
+	if now.Sub(s.OwnedSince) < ownerHold {
+		return false
+	}
+	s.Grants = slices.DeleteFunc(s.Grants, func(g limit.GivenGrant) bool { return !now.Before(g.ExpiresAt) })
+	return s.InFlight+len(s.Grants) < s.Allowance
+}
+
+// ReadyAt returns when MaySend may turn true without another event, or the zero
+// time.
+func (k *Keeper) ReadyAt(now time.Time, s *limit.Server) time.Time {
+	if s.State != limit.Cold || !s.Owned {
+		return time.Time{}
+	}
+	if at := s.OwnedSince.Add(ownerHold); at.After(now) {
+		return at
+	}
+	var first time.Time
+	for _, g := range s.Grants {
+		if first.IsZero() || g.ExpiresAt.Before(first) {
+			first = g.ExpiresAt
+		}
+	}
+	return first
+}
+
+// Use takes the grant that an attempt is sent under. It returns zero when this
+// instance owns the server.
+func (k *Keeper) Use(s *limit.Server) (grant limit.HeldGrant) {
+	if s.Owned || s.Held == nil {
+		return limit.HeldGrant{}
+	}
+	grant = *s.Held
+	s.Held = nil
+	return grant
+}
+
+// Ask asks the owner of a cold server for leave to send one attempt.
+func (k *Keeper) Ask(now time.Time, s *limit.Server) {
+	if s.State != limit.Cold || s.Owned || s.Held != nil || now.Sub(s.WantedAt) < wantInterval {
+		return
+	}
+	owner := k.Owner(s)
+	if owner == "" || owner == k.Self {
+		return
+	}
+	s.WantedAt = now
+	k.Peers.Send(owner, event.Message{Want: &event.Want{Server: s.ID}})
+}
+
+// Wanted queues another instance's request for leave.
+func (k *Keeper) Wanted(now time.Time, from model.InstanceID, w event.Want) {
+	s := k.Servers.Get(w.Server)
+	if s == nil {
+		return
+	}
+	if s.State == limit.Warm || s.State == limit.Draining {
+		k.Peers.Send(from, event.Message{Servers: &event.Servers{News: []event.ServerNews{s.News()}}})
+		return
+	}
+	if !s.Owned {
+		return
+	}
+	if !slices.Contains(s.Waiting, from) {
+		s.Waiting = append(s.Waiting, from)
+	}
+	k.Serve(now, s)
+}
+
+// Serve gives leave to those that wait, as far as the allowance goes. An owner
+// that can't reach the server itself still gives leave to those that may.
+func (k *Keeper) Serve(now time.Time, s *limit.Server) {
+	if !s.Owned || s.State == limit.Warm || s.State == limit.Draining {
+		return
+	}
+	for len(s.Waiting) > 0 && k.room(now, s) {
+		to := s.Waiting[0]
+		s.Unqueue(0)
+		k.grants++
+		s.Grants = append(s.Grants, limit.GivenGrant{Number: k.grants, To: to, ExpiresAt: now.Add(grantLife)})
+		k.Peers.Send(to, event.Message{Grant: &event.Grant{Server: s.ID, Number: k.grants}})
+	}
+}
+
+// Granted takes in a leave from an owner.
+func (k *Keeper) Granted(now time.Time, from model.InstanceID, g event.Grant) {
+	s := k.Servers.Get(g.Server)
+	if s == nil || s.State != limit.Cold || s.Owned || s.Held != nil {
+		k.giveBack(from, event.Returned{Server: g.Server, Number: g.Number})
+		return
+	}
+	s.Held = &limit.HeldGrant{Number: g.Number, Owner: from, UseBefore: now.Add(grantUse)}
+}
+
+// GiveBackUnused returns a held grant that nothing waits for.
+func (k *Keeper) GiveBackUnused(s *limit.Server) {
+	if s.Held == nil {
+		return
+	}
+	h := s.Held
+	s.Held = nil
+	k.giveBack(h.Owner, event.Returned{Server: s.ID, Number: h.Number})
+}
+
+func (k *Keeper) giveBack(owner model.InstanceID, r event.Returned) {
+	k.Peers.Send(owner, event.Message{Returned: &r})
+}
+
+// Done records the end of an attempt that this instance sent to a cold server.
+func (k *Keeper) Done(now time.Time, s *limit.Server, grant limit.HeldGrant, success bool, latency time.Duration) (warmed bool) {
+	if grant.Number != 0 {
+		k.giveBack(grant.Owner, event.Returned{
+			Server: s.ID, Number: grant.Number, Used: true, Success: success, LatencyMicros: latency.Microseconds(),
+		})
+		return false
+	}
+	if !s.Owned || s.State != limit.Cold {
+		return false
+	}
+	return k.count(now, s, success, latency)
+}
+
+// Returned takes a grant back from another instance.
+func (k *Keeper) Returned(now time.Time, from model.InstanceID, r event.Returned) (s *limit.Server, warmed bool) {
+	s = k.Servers.Get(r.Server)
+	if s == nil {
+		return nil, false
+	}
+	i := slices.IndexFunc(s.Grants, func(g limit.GivenGrant) bool { return g.Number == r.Number && g.To == from })
+	if i < 0 {
+		return s, false
+	}
+	s.Grants = slices.Delete(s.Grants, i, i+1)
+	if r.Used && s.Owned && s.State == limit.Cold {
+		warmed = k.count(now, s, r.Success, time.Duration(r.LatencyMicros)*time.Microsecond)
+	}
+	return s, warmed
+}
+
+// count moves the allowance by the result of one attempt. It returns true when
+// the server has borne its full number of slots and counts as warm.
+func (k *Keeper) count(now time.Time, s *limit.Server, success bool, latency time.Duration) (warmed bool) {
+	if !success {
+		s.Streak = 0
+		s.Allowance = max(1, s.Allowance-1)
+		return false
+	}
+	s.Streak++
+	enough := riseAfter * s.Allowance
+	if !k.near(s, latency) {
+		enough = riseAnyway * s.Allowance
+	}
+	if s.Streak < enough {
+		k.Serve(now, s)
+		return false
+	}
+	s.Streak = 0
+	if s.Allowance >= s.Slots {
+		return true
+	}
+	s.Allowance++
+	k.Serve(now, s)
+	return false
+}
+
+// near reports whether a latency is near that of the group's warm servers, or
+// that there is none to compare with and the latency is steady.
+func (k *Keeper) near(s *limit.Server, latency time.Duration) bool {
+	var reference time.Duration
+	for _, o := range k.Servers.Group(s.Service, s.Group) {
+		if o.State == limit.Warm && o.Base > 0 && (reference == 0 || o.Base < reference) {
+			reference = o.Base
+		}
+	}
+	if reference == 0 {
+		reference = s.Base
+	}
+	return latency <= max(nearFactor*reference, nearFloor)
+}
--- /dev/null
+++ b/examples/authority/main.go
@@ -0,0 +1,18 @@
+// Command authority prints the configuration of the authority's deployment as the JSON that
+// hyssoppitch config apply takes.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"hyssoppitch/decl/sample"
+)
+
+func main() {
+	layout := sample.Layout{IP: "127.0.0.1", BasePort: 21000}
+	if err := sample.Authority(layout).Print(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,179 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/decl/sample"
+	"hyssoppitch/internal/standin/fleet"
+	"hyssoppitch/internal/standin/load"
+	"hyssoppitch/io/front"
+)
+
+const (
+	demoTimeout = 25 * time.Second
+	demoService = "circuit-desk"
+	demoRunTime = 5 * time.Millisecond
+	demoConnect = 6 * time.Millisecond
+	demoOneWay  = 8 * time.Millisecond
+	demoCount   = 4
+)
+
+// Run starts the whole path, asks a query, kills a server and an instance, and
+// asks again. It fails when an answer or its coverage is not what it should be.
+func Run(ctx context.Context, out io.Writer) (err error) {
+	defer func() { err = errors.Wrap(err, "demo") }()
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	config, err := sample.Authority(sample.Layout{IP: "127.0.0.1", BasePort: 1}).Config()
+	if err != nil {
+		return err
+	}
+	say := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	say("starting a store, %d backend servers and %d instances in %d data centres", countServers(config), demoCount, len(config.DataCentres))
+	w, err := Start(ctx, Plan{Config: config, Instances: demoCount, Fleet: fleet.Options{
+		RunTime: demoRunTime, ConnectTime: demoConnect, Delay: fleet.Between(config, demoOneWay), Snapshots: []model.Snapshot{7},
+	}})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	say("configuration version 1 is in force on every instance; the servers are cold, and one instance each may send to them")
+	if err := w.warmUp(ctx, say); err != nil {
+		return err
+	}
+	return w.show(ctx, say)
+}
+
+func countServers(c model.Config) (n int) {
+	for _, s := range c.Services {
+		for _, g := range s.Groups {
+			n += len(g.Servers)
+		}
+	}
+	return n
+}
+
+// lookup asks the demonstration's query at an instance.
+func (w *World) lookup(ctx context.Context, in *Instance, class string) (a front.Answer, took time.Duration, err error) {
+	start := time.Now()
+	reply, err := w.Ask(ctx, in, demoService, front.Query{Class: class, Query: json.RawMessage(`{"street":"Harbour Road"}`)}, "")
+	if err != nil {
+		return a, 0, err
+	}
+	if reply.Answer == nil {
+		return a, 0, errors.Newf("refused: %s: %s (%s)", reply.Problem.Title, reply.Problem.Detail, reply.Problem.Outcome)
+	}
+	return *reply.Answer, time.Since(start), nil
+}
+
+// warmUp asks until an answer is complete at every instance.
+func (w *World) warmUp(ctx context.Context, say func(string, ...any)) error {
+	start := time.Now()
+	asked := 0
+	for _, in := range w.Instances {
+		for {
+			asked++
+			a, _, err := w.lookup(ctx, in, "lookup")
+			if err == nil && a.Status == event.StatusComplete {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Newf("no complete answer from %s: %v", in.Settings.Instance, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	say("every instance answers completely after %d queries in %.1f s", asked, time.Since(start).Seconds())
+	return nil
+}
+
+// show asks before and after the faults and checks the answers.
+func (w *World) show(ctx context.Context, say func(string, ...any)) error {
+	before, took, err := w.lookup(ctx, w.Instances[0], "lookup")
+	if err != nil {
+		return err
+	}
+	say("\na lookup at %s took %.1f ms:", w.Instances[0].Settings.Instance, milliseconds(took))
+	describe(say, before)
+	say("\nkilling server circuit-desk.g03.s1, every server of group g07, and instance %s", w.Instances[1].Settings.Instance)
+	for _, s := range append(w.Fleet.Match("circuit-desk.g03.s1"), w.Fleet.Match("circuit-desk.g07.*")...) {
+		s.Stop()
+	}
+	w.Instances[1].Kill()
+	after, took, err := w.lookup(ctx, w.Instances[0], "lookup")
+	if err != nil {
+		return err
+	}
+	say("\nthe next lookup took %.1f ms:", milliseconds(took))
+	describe(say, after)
+	if err := checkAfter(after); err != nil {
+		return err
+	}
+	return w.showOnce(ctx, say)
+}
+
+// checkAfter checks that the answer misses exactly the group that lost every
+// server.
+func checkAfter(a front.Answer) error {
+	if len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0].Group != "g07" || len(a.Results) != 9 {
+		return errors.Newf("coverage: got %+v, want all but g07", a.Coverage)
+	}
+	return nil
+}
+
+// showOnce sends one work order twice, through two instances.
+func (w *World) showOnce(ctx context.Context, say func(string, ...any)) error {
+	const key = "order-4711"
+	q := front.Query{Class: "work-order", Key: "post-0815", Query: json.RawMessage(`{"order":"mount banner","post":"0815"}`)}
+	say("\na work order with Idempotency-Key %s, sent through %s and again through %s:", key, w.Instances[0].Settings.Instance, w.Instances[2].Settings.Instance)
+	for _, in := range []*Instance{w.Instances[0], w.Instances[2]} {
+		reply, err := w.askOnce(ctx, in, q, key)
+		if err != nil {
+			return err
+		}
+		if reply.Answer == nil {
+			return errors.Newf("refused: %s: %s", reply.Problem.Title, reply.Problem.Detail)
+		}
+		say("  %s: outcome %s, replayed %t, result %s", in.Settings.Instance, reply.Answer.Outcome, reply.Answer.Replayed, reply.Answer.Results[0].Body)
+	}
+	if n := w.Fleet.Runs(key); n != 1 {
+		return errors.Newf("runs of the work order: got %d, want 1", n)
+	}
+	say("  the backend servers' ledger has it once")
+	return nil
+}
+
+// describe prints an answer without its results' bodies.
+func describe(say func(string, ...any), a front.Answer) {
+	say("  %s, from snapshot %d: %d of %d groups, %.1f%% of the keys", a.Status, a.Snapshot,
+		len(a.Coverage.Answered), len(a.Coverage.Asked), 100*a.Coverage.Fraction)
+	for _, m := range a.Coverage.Missing {
+		say("  missing: group %s, keys [%d, %d), since %s", m.Group, m.Keys.From, m.Keys.To, m.Reason)
+	}
+	for _, r := range a.Results[:min(2, len(a.Results))] {
+		say("  %s: %s", r.Group, r.Body)
+	}
+	say("  and %d more groups", len(a.Results)-min(2, len(a.Results)))
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// askOnce sends a non-idempotent request; while the earlier one of the same key is
+// not settled it asks again, as a caller does.
+func (w *World) askOnce(ctx context.Context, in *Instance, q front.Query, key string) (reply load.Reply, err error) {
+	for {
+		reply, err = w.Ask(ctx, in, demoService, q, key)
+		if err != nil || reply.Problem == nil || reply.Problem.Title != event.RefuseInProgress || ctx.Err() != nil {
+			return reply, err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/world.go
@@ -0,0 +1,199 @@
+// Package demo runs the whole path in one process over loopback TCP: a store
+// stand-in, a fleet of backend server stand-ins and instances of hyssoppitch. It
+// is scaffolding for demonstrations and tests; the product doesn't import it.
+package demo
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+	"github.com/phuslu/log"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/internal/standin/fleet"
+	"hyssoppitch/internal/standin/kvmem"
+	"hyssoppitch/internal/standin/load"
+	"hyssoppitch/io/admin"
+	"hyssoppitch/io/front"
+	"hyssoppitch/io/node"
+	"hyssoppitch/io/setup"
+	"hyssoppitch/io/store"
+)
+
+// Plan says what a world holds.
+type Plan struct {
+	// Config is applied at the start, with every server at a free port.
+	Config model.Config
+	// Instances is the number of instances, spread over the data centres.
+	Instances int
+	Fleet     fleet.Options
+	// Settings changes the settings of each instance before it starts.
+	Settings func(*setup.Settings)
+	// Log takes the instances' log lines; nil drops them.
+	Log *log.Logger
+}
+
+// World is a running deployment.
+type World struct {
+	Config    model.Config
+	Store     *kvmem.Server
+	Fleet     *fleet.Fleet
+	Instances []*Instance
+	Client    *http.Client
+	plan      Plan
+}
+
+// Instance is one running instance.
+type Instance struct {
+	Settings setup.Settings
+	Node     *node.Node
+	stop     context.CancelFunc
+	done     chan error
+	// conns tracks the connections of both listeners, to cut them.
+	conns *connTracker
+}
+
+// Start starts a world and waits until every instance is ready.
+func Start(ctx context.Context, p Plan) (w *World, err error) {
+	defer func() { err = errors.Wrap(err, "start world") }()
+	config := fleet.Retarget(p.Config)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w = &World{Config: config, Store: kvmem.Start(l), plan: p, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	w.Fleet, err = fleet.Start(config, p.Fleet)
+	if err != nil {
+		w.Close()
+		return nil, err
+	}
+	if _, err := admin.Apply(ctx, store.New(w.Store.Address()), config, 0, ulid.Make().String()); err != nil {
+		w.Close()
+		return nil, err
+	}
+	for i := range p.Instances {
+		if _, err := w.AddInstance(i); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, w.AwaitReady(ctx)
+}
+
+// AddInstance starts one more instance.
+func (w *World) AddInstance(number int) (in *Instance, err error) {
+	places := w.Config.DataCentres
+	s := setup.Default()
+	s.Instance = model.InstanceID("i" + string(rune('0'+number%10)) + string(rune('a'+number/10)))
+	s.DataCentre = places[number%len(places)].Name
+	s.Listen, s.Control, s.Store = "127.0.0.1:0", "127.0.0.1:0", w.Store.Address()
+	s.Shutdown.Lag = model.Duration(300 * time.Millisecond)
+	for _, other := range w.Instances {
+		s.Seeds = append(s.Seeds, other.Node.ControlAddress())
+	}
+	if w.plan.Settings != nil {
+		w.plan.Settings(&s)
+	}
+	in, err = startInstance(s, w.plan.Log)
+	if err != nil {
+		return nil, err
+	}
+	w.Instances = append(w.Instances, in)
+	w.list()
+	return in, nil
+}
+
+// list puts the running instances on the platform's list.
+func (w *World) list() {
+	var p store.Processes
+	for _, in := range w.Instances {
+		p.Instances = append(p.Instances, event.ListedInstance{
+			ID: in.Settings.Instance, Address: in.Node.ControlAddress(), DataCentre: in.Settings.DataCentre, State: event.ListedLive,
+		})
+	}
+	w.Store.SetProcesses(p)
+}
+
+func startInstance(s setup.Settings, logger *log.Logger) (in *Instance, err error) {
+	if logger == nil {
+		logger = &log.Logger{Level: log.PanicLevel}
+	}
+	in = &Instance{Settings: s, done: make(chan error, 1), conns: &connTracker{}}
+	parts := node.Parts{Log: logger}
+	if parts.Listener, err = in.conns.listen(s.Listen); err != nil {
+		return nil, err
+	}
+	if parts.Control, err = in.conns.listen(s.Control); err != nil {
+		return nil, err
+	}
+	in.Node, err = node.New(s, parts)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop = cancel
+	go func() { in.done <- in.Node.Run(ctx) }()
+	return in, nil
+}
+
+// Leave makes an instance leave gracefully and waits until it has.
+func (in *Instance) Leave() error {
+	in.stop()
+	return <-in.done
+}
+
+// Kill cuts an instance's connections and listeners at once. What it has in flight
+// gets no reply.
+func (in *Instance) Kill() { in.conns.cut() }
+
+// AwaitReady waits until every instance is ready.
+func (w *World) AwaitReady(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "await readiness") }()
+	for _, in := range w.Instances {
+		for in.Node.NotReady() != "" {
+			if ctx.Err() != nil {
+				return errors.Newf("instance %s: %s", in.Settings.Instance, in.Node.NotReady())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Addresses returns where the instances take requests.
+func (w *World) Addresses() (out []string) {
+	for _, in := range w.Instances {
+		out = append(out, in.Node.Address())
+	}
+	return out
+}
+
+// Controls returns the instances' control addresses.
+func (w *World) Controls() (out []string) {
+	for _, in := range w.Instances {
+		out = append(out, in.Node.ControlAddress())
+	}
+	return out
+}
+
+// Ask sends one request to an instance.
+func (w *World) Ask(ctx context.Context, in *Instance, service string, q front.Query, key string) (load.Reply, error) {
+	return load.Ask(ctx, w.Client, in.Node.Address(), service, q, key, 0)
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	w.Client.CloseIdleConnections()
+	for _, in := range w.Instances {
+		in.Kill()
+	}
+	if w.Fleet != nil {
+		w.Fleet.Close()
+	}
+	w.Store.Close()
+}
--- /dev/null
+++ b/internal/standin/fleet/server.go
@@ -0,0 +1,457 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/io/back"
+)
+
+// Stats are what a server has seen.
+type Stats struct {
+	// Runs counts requests run; Sheds those refused for lack of room.
+	Runs  int `json:"runs"`
+	Sheds int `json:"sheds"`
+	// Crashes counts falls; Overloads those for too much work while cold.
+	Crashes   int `json:"crashes"`
+	Overloads int `json:"overloads"`
+	// InFlight is the number of requests now; Peak the highest since the last
+	// reset, and ColdPeak the highest while the server was cold.
+	InFlight int `json:"in-flight"`
+	Peak     int `json:"peak"`
+	ColdPeak int `json:"cold-peak"`
+	// LastRun is when the last run began.
+	LastRun time.Time `json:"last-run"`
+}
+
+// Server is one backend server stand-in.
+type Server struct {
+	model.Server
+	fleet   *Fleet
+	service string
+	group   model.Group
+	slots   int
+	conns   int
+
+	mu        sync.Mutex
+	http      *http.Server
+	boot      string
+	warmth    int
+	faults    Faults
+	snapshots []model.Snapshot
+	epoch     model.MapEpoch
+	stats     Stats
+	running   chan struct{}
+}
+
+func newServer(f *Fleet, svc *model.Service, g model.Group, b model.Server) *Server {
+	s := &Server{
+		Server: b, fleet: f, service: svc.Name, group: g, slots: svc.Slots, conns: svc.Connections,
+		epoch: svc.Epoch, snapshots: f.options.Snapshots, running: make(chan struct{}, svc.Slots),
+	}
+	if f.options.StartWarm {
+		s.warmth = warmingRuns
+	}
+	return s
+}
+
+// listen starts the server under a new boot identity.
+func (s *Server) listen() (err error) {
+	defer func() { err = errors.Wrapf(err, "server %s", s.ID) }()
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+back.PathRun, s.run)
+	mux.HandleFunc("GET "+back.PathStatus, s.status)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	s.mu.Lock()
+	s.http = server
+	s.boot = s.fleet.nextBoot()
+	s.mu.Unlock()
+	go func() { _ = server.Serve(&limitedListener{Listener: l, server: s}) }()
+	return nil
+}
+
+// stop ends the server and its connections.
+func (s *Server) stop() {
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// limitedListener delays and limits connections.
+type limitedListener struct {
+	net.Listener
+	server *Server
+	mu     sync.Mutex
+	open   int
+}
+
+// Accept closes connections beyond the limit at once.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		full := l.open >= l.server.conns
+		if !full {
+			l.open++
+		}
+		l.mu.Unlock()
+		if !full {
+			return &slowConn{Conn: c, listener: l}, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// slowConn makes the first read of a connection take ConnectTime.
+type slowConn struct {
+	net.Conn
+	listener *limitedListener
+	first    sync.Once
+	closed   sync.Once
+}
+
+// Read implements net.Conn.
+func (c *slowConn) Read(b []byte) (int, error) {
+	c.first.Do(func() { time.Sleep(c.listener.server.fleet.options.ConnectTime) })
+	return c.Conn.Read(b)
+}
+
+// Close implements net.Conn.
+func (c *slowConn) Close() error {
+	c.closed.Do(func() {
+		c.listener.mu.Lock()
+		c.listener.open--
+		c.listener.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// SetFaults replaces the faults of a server.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetData sets the snapshots and the shard map that a server serves.
+func (s *Server) SetData(snapshots []model.Snapshot, epoch model.MapEpoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.snapshots, s.epoch = snapshots, epoch
+}
+
+// Chill makes a server cold without a restart.
+func (s *Server) Chill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.warmth = 0
+}
+
+// Stats returns what a server has seen.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// ResetPeaks forgets the peaks.
+func (s *Server) ResetPeaks() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Peak, s.stats.ColdPeak = 0, 0
+}
+
+// Warm reports whether the server bears full load.
+func (s *Server) Warm() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.warmth >= warmingRuns
+}
+
+// Crash ends the server at once; it comes back cold after rebootTime.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.stats.Crashes++
+	s.warmth = 0
+	s.mu.Unlock()
+	s.stop()
+	time.AfterFunc(rebootTime, func() {
+		for !s.fleet.isClosed() && s.listen() != nil {
+			time.Sleep(rebootTime)
+		}
+	})
+}
+
+// Stop ends the server for good.
+func (s *Server) Stop() { s.stop() }
+
+// bears returns the number of requests that the server bears at a time; the lock
+// is held.
+func (s *Server) bears() int {
+	if s.warmth >= warmingRuns {
+		return s.slots * (1 + queuePerSlot)
+	}
+	return 1 + s.warmth*s.slots/warmingRuns
+}
+
+// enter counts a request in, or says why it isn't run.
+func (s *Server) enter() (refusal event.RefusalReason, crash bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Drain:
+		return event.RefusedDraining, false
+	case s.faults.Shed:
+		s.stats.Sheds++
+		return event.RefusedShed, false
+	}
+	cold := s.warmth < warmingRuns
+	if s.stats.InFlight >= s.bears() {
+		if cold {
+			s.stats.Overloads++
+			return "", true
+		}
+		s.stats.Sheds++
+		return event.RefusedShed, false
+	}
+	s.stats.InFlight++
+	s.stats.Peak = max(s.stats.Peak, s.stats.InFlight)
+	if cold {
+		s.stats.ColdPeak = max(s.stats.ColdPeak, s.stats.InFlight)
+	}
+	return "", false
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.InFlight--
+}
+
+// poisoned is what a query holds that crashes every server that runs it.
+const poisoned = `"poison":true`
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeoutOf(r))
+	defer cancel()
+	s.delay(ctx, r)
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Cut == CutBefore {
+		hangUp(w)
+		return
+	}
+	if reason := s.unserved(r); reason != "" {
+		s.refuse(w, r, reason)
+		return
+	}
+	refusal, crash := s.enter()
+	if crash || (refusal == "" && strings.Contains(strings.ReplaceAll(string(body), " ", ""), poisoned)) {
+		s.Crash()
+		return
+	}
+	if refusal != "" {
+		s.refuse(w, r, refusal)
+		return
+	}
+	done := s.work(ctx, r, body)
+	s.leave()
+	if !done {
+		hangUp(w)
+		return
+	}
+	s.wait(ctx, time.Duration(faults.LateMs)*time.Millisecond)
+	s.delay(ctx, r)
+	if faults.Cut == CutAfter {
+		hangUp(w)
+		return
+	}
+	s.answer(w, r, faults)
+}
+
+// work takes a slot and runs the request. It returns false when the caller went
+// away or the deadline passed before it began.
+func (s *Server) work(ctx context.Context, r *http.Request, body []byte) bool {
+	select {
+	case s.running <- struct{}{}:
+		defer func() { <-s.running }()
+	case <-ctx.Done():
+		return false
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.stats.Runs++
+	s.stats.LastRun = time.Now()
+	cost := s.fleet.options.RunTime
+	if s.warmth < warmingRuns {
+		cost *= coldSlowdown
+	}
+	cost += time.Duration(s.faults.StraggleMs) * time.Millisecond
+	s.mu.Unlock()
+	if once := r.Header.Get(back.HeaderOnce); once != "" {
+		s.fleet.record(Run{Once: once, Server: s.ID, Attempt: r.Header.Get(back.HeaderAttempt), Body: string(body), At: time.Now()})
+		// A non-idempotent request is not abandoned half-way.
+		ctx = context.WithoutCancel(ctx)
+	}
+	s.wait(ctx, cost)
+	s.mu.Lock()
+	s.warmth++
+	s.mu.Unlock()
+	return true
+}
+
+// unserved returns the reason for which the snapshot or shard map of a request
+// isn't served here.
+func (s *Server) unserved(r *http.Request) event.RefusalReason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	epoch, _ := strconv.ParseUint(r.Header.Get(back.HeaderEpoch), 10, 64)
+	if model.MapEpoch(epoch) != s.epoch {
+		return event.RefusedEpoch
+	}
+	want, _ := strconv.ParseUint(r.Header.Get(back.HeaderSnapshot), 10, 64)
+	for _, v := range s.snapshots {
+		if v == model.Snapshot(want) {
+			return ""
+		}
+	}
+	return event.RefusedSnapshot
+}
+
+func timeoutOf(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get(back.HeaderTimeout))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// delay waits for the one-way delay between the sender's data centre and this.
+func (s *Server) delay(ctx context.Context, r *http.Request) {
+	if s.fleet.options.Delay != nil {
+		s.wait(ctx, s.fleet.options.Delay(r.Header.Get(back.HeaderDataCentre), s.DataCentre))
+	}
+}
+
+func (s *Server) wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *Server) report(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set(back.HeaderBoot, s.boot)
+	h.Set(back.HeaderSnapshots, back.FormatSnapshots(s.snapshots))
+	h.Set(back.HeaderServerEpoch, strconv.FormatUint(uint64(s.epoch), 10))
+	if s.faults.Drain {
+		h.Set(back.HeaderDraining, "true")
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, reason event.RefusalReason) {
+	h := w.Header()
+	s.report(h)
+	h.Set(back.HeaderAttempt, r.Header.Get(back.HeaderAttempt))
+	h.Set(back.HeaderGroup, r.Header.Get(back.HeaderGroup))
+	h.Set(back.HeaderNotRun, string(reason))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Reply is the body of an answer of the stand-in.
+type Reply struct {
+	Server   model.ServerID `json:"server"`
+	Group    string         `json:"group"`
+	Snapshot string         `json:"snapshot"`
+	Found    int            `json:"found"`
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, f Faults) {
+	h := w.Header()
+	s.report(h)
+	snapshot := r.Header.Get(back.HeaderSnapshot)
+	body, _ := json.Marshal(Reply{Server: s.ID, Group: s.group.Name, Snapshot: snapshot, Found: int(s.group.Keys.Size())})
+	h.Set("Content-Type", "application/json")
+	h.Set(back.HeaderAttempt, r.Header.Get(back.HeaderAttempt))
+	h.Set(back.HeaderGroup, s.group.Name)
+	h.Set(back.HeaderSnapshot, snapshot)
+	h.Set(back.HeaderEpoch, r.Header.Get(back.HeaderEpoch))
+	h.Set(back.HeaderDigest, back.DigestOf(body))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	switch f.Reply {
+	case ReplyCrossed:
+		h.Set(back.HeaderAttempt, "another/1/1/0/1")
+	case ReplyGroup:
+		h.Set(back.HeaderGroup, "another")
+	case ReplyAltered:
+		body[len(body)/2] ^= 1
+	case ReplyTruncated:
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		hangUp(w)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	s.delay(r.Context(), r)
+	s.mu.Lock()
+	out := back.Status{Boot: s.boot, Draining: s.faults.Drain && !s.faults.StatusLies, Snapshots: s.snapshots, Epoch: s.epoch}
+	silent := s.faults.StatusSilent
+	s.mu.Unlock()
+	if silent {
+		hangUp(w)
+		return
+	}
+	s.delay(r.Context(), r)
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// hangUp closes the connection without a reply.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// String returns the server's name.
+func (s *Server) String() string { return fmt.Sprintf("%s (%s)", s.ID, s.Address) }
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,288 @@
+// Package admin owns what operators' commands do: reading the accepted
+// configuration, putting a new one in its place by compare-and-swap, handing it to
+// the instances, and asking them what is in force. Printing is left to the command
+// line.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/io/node"
+	"hyssoppitch/io/store"
+)
+
+// Errors that commands tell apart.
+var (
+	// ErrConflict: the accepted configuration is not the one that the change was
+	// made from. Nothing was changed.
+	ErrConflict = errors.New("the accepted configuration is another version")
+	// ErrUnknown: the store did not answer, and the change may or may not have
+	// been accepted.
+	ErrUnknown = errors.New("it is not known whether the change was accepted")
+)
+
+const (
+	// readBackTimeout bounds the time in which a lost reply is settled by reading.
+	readBackTimeout = 5 * time.Second
+	// readBackPause is the wait between two tries.
+	readBackPause = 100 * time.Millisecond
+	// callTimeout bounds one call to an instance.
+	callTimeout = 2 * time.Second
+)
+
+// Store is what the commands need of the platform's service.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Value, error)
+	Swap(ctx context.Context, key string, revision int64, data []byte) (int64, error)
+	Processes(ctx context.Context) (store.Processes, error)
+}
+
+// Current is the accepted configuration.
+type Current struct {
+	Config model.Config
+	Root   conf.Root
+	// Revision is that of the root in the store; zero when there is none yet.
+	Revision int64
+}
+
+// Read returns the accepted configuration. Its version is zero when there is none
+// yet.
+func Read(ctx context.Context, s Store) (c Current, err error) {
+	defer func() { err = errors.Wrap(err, "read configuration") }()
+	v, err := s.Get(ctx, conf.RootKey)
+	if err != nil || v.Revision == 0 {
+		return c, err
+	}
+	c.Revision = v.Revision
+	c.Root, err = conf.ParseRoot(v.Data)
+	if err != nil {
+		return c, err
+	}
+	parts := map[conf.Digest][]byte{}
+	for _, d := range c.Root.Digests() {
+		part, err := s.Get(ctx, conf.PartPrefix+string(d))
+		if err != nil {
+			return c, err
+		}
+		parts[d] = part.Data
+	}
+	c.Config, err = conf.Join(c.Root, parts)
+	return c, err
+}
+
+// Accepted is a configuration that the store accepted.
+type Accepted struct {
+	Root  conf.Root
+	Parts []conf.Part
+}
+
+// Apply puts a configuration in the place of version from, under a change
+// identity that no other command uses. It fails with ErrConflict when another
+// version is accepted, and with ErrUnknown when the store gave no answer and could
+// not be read back.
+func Apply(ctx context.Context, s Store, c model.Config, from uint64, change string) (a Accepted, err error) {
+	defer func() { err = errors.Wrapf(err, "apply configuration made from version %d", from) }()
+	current, err := Read(ctx, s)
+	if err != nil {
+		return a, err
+	}
+	if current.Config.Version != from {
+		return a, errors.Wrapf(ErrConflict, "version %d by change %q is accepted", current.Config.Version, current.Config.Change)
+	}
+	c.Version, c.Change = from+1, change
+	if err := conf.Check(&c); err != nil {
+		return a, err
+	}
+	a.Root, a.Parts, err = conf.Split(c)
+	if err != nil {
+		return a, err
+	}
+	if err := writeParts(ctx, s, a.Parts); err != nil {
+		return a, err
+	}
+	return a, writeRoot(ctx, s, a.Root, current.Revision)
+}
+
+// writeParts writes the documents that the store lacks. They are named by their
+// digests, so one that stands already is right.
+func writeParts(ctx context.Context, s Store, parts []conf.Part) error {
+	for _, p := range parts {
+		_, err := s.Swap(ctx, conf.PartPrefix+string(p.Digest), 0, p.Data)
+		if err != nil && !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeRoot swaps the root in: this is what accepts the configuration.
+func writeRoot(ctx context.Context, s Store, r conf.Root, revision int64) error {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	_, err = s.Swap(ctx, conf.RootKey, revision, data)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, store.ErrRefused):
+		return err
+	}
+	// The reply was lost, or another root stands: read whose it is.
+	return readBack(ctx, s, r, revision)
+}
+
+// readBack settles a write by reading the root: this change's identity there means
+// that it was accepted, a new revision without it that it was not. An unchanged
+// revision leaves it open, since the write may still arrive.
+func readBack(ctx context.Context, s Store, r conf.Root, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
+	defer cancel()
+	for {
+		v, err := s.Get(ctx, conf.RootKey)
+		if err == nil && v.Revision != revision {
+			stands, err := conf.ParseRoot(v.Data)
+			switch {
+			case err != nil:
+				return err
+			case stands.Version == r.Version && stands.Change == r.Change:
+				return nil
+			case stands.Version >= r.Version:
+				return errors.Wrapf(ErrConflict, "version %d by change %q is accepted", stands.Version, stands.Change)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ErrUnknown
+		case <-time.After(readBackPause):
+		}
+	}
+}
+
+// Instance is what a command learned of one instance.
+type Instance struct {
+	Address string       `json:"address"`
+	Status  *node.Status `json:"status,omitempty"`
+	// Error is why there is no status.
+	Error string `json:"error,omitempty"`
+}
+
+// Instances returns the control addresses of the instances that the platform
+// lists, leaving ones included.
+func Instances(ctx context.Context, s Store) (addresses []string, err error) {
+	p, err := s.Processes(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances")
+	}
+	for _, i := range p.Instances {
+		if i.State == event.ListedLive || i.State == event.ListedLeaving {
+			addresses = append(addresses, i.Address)
+		}
+	}
+	return addresses, nil
+}
+
+// Statuses asks each instance for its status.
+func Statuses(ctx context.Context, addresses []string, withServers bool) []Instance {
+	path := node.PathStatus
+	if withServers {
+		path += "?servers=1"
+	}
+	out := make([]Instance, len(addresses))
+	done := make(chan struct{})
+	for i, address := range addresses {
+		go func() {
+			out[i] = statusOf(ctx, address, path)
+			done <- struct{}{}
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+	return out
+}
+
+func statusOf(ctx context.Context, address, path string) Instance {
+	var s node.Status
+	if err := call(ctx, http.MethodGet, address, path, nil, &s); err != nil {
+		return Instance{Address: address, Error: err.Error()}
+	}
+	return Instance{Address: address, Status: &s}
+}
+
+// Push hands an accepted configuration to each instance. An instance that can't be
+// reached learns it from the store or its peers.
+func Push(ctx context.Context, addresses []string, a Accepted) {
+	push := node.Push{Root: a.Root, Parts: map[conf.Digest][]byte{}}
+	for _, p := range a.Parts {
+		push.Parts[p.Digest] = p.Data
+	}
+	done := make(chan struct{})
+	for _, address := range addresses {
+		go func() {
+			_ = call(ctx, http.MethodPost, address, node.PathPush, push, nil)
+			done <- struct{}{}
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+}
+
+// AwaitInForce asks the instances until all have a version in force, or the
+// context ends. It returns what it last heard, and whether all have it.
+func AwaitInForce(ctx context.Context, addresses []string, version uint64) (last []Instance, all bool) {
+	for {
+		last = Statuses(ctx, addresses, false)
+		all = true
+		for _, i := range last {
+			all = all && i.Status != nil && i.Status.Version >= version
+		}
+		if all {
+			return last, true
+		}
+		select {
+		case <-ctx.Done():
+			return last, false
+		case <-time.After(readBackPause):
+		}
+	}
+}
+
+// call makes one call to an instance's control listener.
+func call(ctx context.Context, method, address, path string, in, out any) (err error) {
+	defer func() { err = errors.Wrapf(err, "instance at %s", address) }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body := new(bytes.Buffer)
+	if in != nil {
+		if err := json.NewEncoder(body).Encode(in); err != nil {
+			return err
+		}
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return err
+	}
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode >= http.StatusMultipleChoices {
+		return errors.Newf("HTTP status %d", reply.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(reply.Body).Decode(out)
+}
--- /dev/null
+++ b/io/back/back.go
@@ -0,0 +1,279 @@
+// Package back owns the way to backend servers: it sends attempts and reads
+// statuses over HTTP/1.1, checks that a reply is whole and meant for the attempt,
+// and says truly whether anything was written. Which attempt goes where, and what
+// follows from its end, is left to core.
+package back
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+const (
+	// maxReply is the longest body that is read, in bytes.
+	maxReply = 4 << 20
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 90 * time.Second
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = time.Second
+	// statusTimeout bounds the reading of a status.
+	statusTimeout = 800 * time.Millisecond
+)
+
+// Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// Client sends to backend servers. It is safe for use by many goroutines.
+type Client struct {
+	clock      Clock
+	dataCentre string
+	transport  *http.Transport
+
+	mu     sync.Mutex
+	cancel map[event.AttemptID]context.CancelFunc
+}
+
+// New returns a client. connections is the most that it opens to one server,
+// status reads included.
+func New(clock Clock, dataCentre string, connections int) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		clock: clock, dataCentre: dataCentre, cancel: map[event.AttemptID]context.CancelFunc{},
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countingConn{Conn: c}, nil
+			},
+			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+			IdleConnTimeout: idleTimeout, DisableCompression: true,
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// countingConn counts the bytes written, so that a failed attempt can tell
+// whether any of it left.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn. Bytes count as written as soon as they are handed to
+// the connection, whether or not that succeeds.
+func (c *countingConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// Cancel ends an attempt whose reply is no longer wanted.
+func (c *Client) Cancel(id event.AttemptID) {
+	c.mu.Lock()
+	cancel := c.cancel[id]
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// Send sends an attempt and returns how it ended. It never sends twice.
+func (c *Client) Send(ctx context.Context, a event.SendAttempt) event.AttemptEnded {
+	left := a.Deadline.Sub(c.clock.Now())
+	if left <= 0 {
+		return event.AttemptEnded{Attempt: a.Attempt, Server: a.Server, Kind: event.NotSent}
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	c.mu.Lock()
+	c.cancel[a.Attempt] = cancel
+	c.mu.Unlock()
+	defer func() {
+		cancel()
+		c.mu.Lock()
+		delete(c.cancel, a.Attempt)
+		c.mu.Unlock()
+	}()
+	return c.exchange(ctx, a, left)
+}
+
+// exchange writes the request and reads the reply.
+func (c *Client) exchange(ctx context.Context, a event.SendAttempt, left time.Duration) (end event.AttemptEnded) {
+	end = event.AttemptEnded{Attempt: a.Attempt, Server: a.Server}
+	w := &writeWatch{}
+	request, err := c.request(httptrace.WithClientTrace(ctx, w.trace()), a, left)
+	if err != nil {
+		end.Kind = event.NotSent
+		return end
+	}
+	reply, err := c.transport.RoundTrip(request)
+	if err != nil {
+		end.Kind = failure(ctx, w)
+		return end
+	}
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxReply+1))
+	if err != nil {
+		end.Kind = failure(ctx, w)
+		return end
+	}
+	return read(a, reply, body)
+}
+
+// request builds the request of an attempt. Its body can't be rewound (GetBody is
+// nil), so that net/http never sends it a second time.
+func (c *Client) request(ctx context.Context, a event.SendAttempt, left time.Duration) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+PathRun, io.NopCloser(bytes.NewReader(a.Body)))
+	if err != nil {
+		return nil, errors.Wrapf(err, "attempt %s", a.Attempt)
+	}
+	r.ContentLength = int64(len(a.Body))
+	if len(a.Body) == 0 {
+		r.Body = http.NoBody
+	}
+	h := r.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderAttempt, a.Attempt.String())
+	h.Set(HeaderService, a.Service)
+	h.Set(HeaderGroup, a.Group)
+	h.Set(HeaderSnapshot, strconv.FormatUint(uint64(a.Snapshot), 10))
+	h.Set(HeaderEpoch, strconv.FormatUint(uint64(a.Epoch), 10))
+	h.Set(HeaderTimeout, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	h.Set(HeaderDataCentre, c.dataCentre)
+	h.Set(HeaderDigest, DigestOf(a.Body))
+	if a.Key != "" {
+		h.Set(HeaderKey, a.Key)
+	}
+	if a.OnceKey != "" {
+		h.Set(HeaderOnce, a.OnceKey)
+	}
+	return r, nil
+}
+
+// writeWatch learns from the transport whether any byte of a request was written.
+type writeWatch struct {
+	mu     sync.Mutex
+	conn   *countingConn
+	before int64
+	// blind is set when the connection can't be watched.
+	blind bool
+}
+
+func (w *writeWatch) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		conn, ok := info.Conn.(*countingConn)
+		if !ok {
+			w.blind = true
+			return
+		}
+		w.conn, w.before = conn, conn.written.Load()
+	}}
+}
+
+// connected reports whether the request got a connection to be written to.
+func (w *writeWatch) connected() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.blind || w.conn != nil
+}
+
+// wrote reports whether a byte of the request may have been written.
+func (w *writeWatch) wrote() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.blind || (w.conn != nil && w.conn.written.Load() != w.before)
+}
+
+// failure tells how an exchange that gave no whole reply ended. The transport
+// waits for its writer before it reports a broken connection, but not when the
+// context ends: then only a request without a connection is surely not written.
+func failure(ctx context.Context, w *writeWatch) event.ResultKind {
+	switch {
+	case !w.connected():
+		return event.NotSent
+	case ctx.Err() != nil:
+		return event.TimedOut
+	case !w.wrote():
+		return event.NotSent
+	default:
+		return event.Died
+	}
+}
+
+// read turns a reply into the end of the attempt.
+func read(a event.SendAttempt, reply *http.Response, body []byte) (end event.AttemptEnded) {
+	end = event.AttemptEnded{Attempt: a.Attempt, Server: a.Server, Kind: event.BadReply}
+	if len(body) > maxReply || checkReply(a, reply.Header, body) != nil {
+		return end
+	}
+	end.Report = reportOf(reply.Header)
+	if reason := reply.Header.Get(HeaderNotRun); reason != "" {
+		end.Kind, end.Reason = event.Refused, event.RefusalReason(reason)
+		return end
+	}
+	if reply.StatusCode != http.StatusOK || !json.Valid(body) {
+		return end
+	}
+	snapshot, errSnapshot := strconv.ParseUint(reply.Header.Get(HeaderSnapshot), 10, 64)
+	epoch, errEpoch := strconv.ParseUint(reply.Header.Get(HeaderEpoch), 10, 64)
+	if errSnapshot != nil || errEpoch != nil {
+		return end
+	}
+	end.Kind, end.Body = event.Answered, body
+	end.Snapshot, end.Epoch = model.Snapshot(snapshot), model.MapEpoch(epoch)
+	return end
+}
+
+// Status reads a server's status.
+func (c *Client) Status(ctx context.Context, p event.PollStatus) event.StatusSeen {
+	seen := event.StatusSeen{Server: p.Server}
+	status, err := c.status(ctx, p.Address)
+	if err != nil {
+		return seen
+	}
+	seen.Reached = true
+	seen.Report = event.ServerReport{
+		Boot: status.Boot, Draining: status.Draining, Snapshots: status.Snapshots, Epoch: status.Epoch,
+	}
+	return seen
+}
+
+func (c *Client) status(ctx context.Context, address string) (s Status, err error) {
+	defer func() { err = errors.Wrapf(err, "status of %s", address) }()
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathStatus, nil)
+	if err != nil {
+		return s, err
+	}
+	r.Header.Set(HeaderDataCentre, c.dataCentre)
+	reply, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		return s, errors.Newf("HTTP status %d", reply.StatusCode)
+	}
+	return s, json.NewDecoder(io.LimitReader(reply.Body, maxReply)).Decode(&s)
+}
--- /dev/null
+++ b/io/node/control.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/engine"
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/io/peer"
+)
+
+// Paths of the interface to operators.
+const (
+	PathStatus = "/v1/status"
+	PathConfig = "/v1/config"
+	PathPush   = "/v1/push"
+	PathVars   = "/debug/vars"
+)
+
+// maxPush is the longest pushed configuration, in bytes.
+const maxPush = 64 << 20
+
+// Status is what an instance says of itself to operators.
+type Status struct {
+	Instance model.Instance `json:"instance"`
+	// NotReady is why no new requests should be sent here; empty when ready.
+	NotReady string `json:"not-ready,omitempty"`
+	Leaving  bool   `json:"leaving"`
+	// Version and Change name the configuration in force.
+	Version uint64 `json:"version"`
+	Change  string `json:"change"`
+	// StoreReachable is false while the store doesn't answer: a change of
+	// configuration then comes by peers only.
+	StoreReachable bool           `json:"store-reachable"`
+	Members        []MemberStatus `json:"members"`
+	// ServersByState counts the backend servers.
+	ServersByState map[string]int `json:"servers-by-state"`
+	Servers        []ServerStatus `json:"servers,omitempty"`
+}
+
+// MemberStatus is one instance as another sees it.
+type MemberStatus struct {
+	ID         model.InstanceID `json:"id"`
+	Address    string           `json:"address"`
+	DataCentre string           `json:"data-centre"`
+	State      string           `json:"state"`
+	Linked     bool             `json:"linked"`
+	Version    uint64           `json:"version"`
+}
+
+// ServerStatus is one backend server as an instance sees it.
+type ServerStatus struct {
+	ID         model.ServerID   `json:"id"`
+	DataCentre string           `json:"data-centre"`
+	State      string           `json:"state"`
+	Boot       string           `json:"boot"`
+	InFlight   int              `json:"in-flight"`
+	Limit      float64          `json:"limit"`
+	Allowance  int              `json:"allowance,omitempty"`
+	Owner      model.InstanceID `json:"owner,omitempty"`
+	LatencyUs  int64            `json:"latency-us"`
+	Snapshots  []model.Snapshot `json:"snapshots"`
+}
+
+// Push is a configuration that the store has accepted, handed to an instance by
+// the operators' command, in case the store goes down before the instance reads
+// it there.
+type Push struct {
+	Root  conf.Root              `json:"root"`
+	Parts map[conf.Digest][]byte `json:"parts"`
+}
+
+func (n *Node) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, n.peers)
+	mux.Handle("GET "+PathVars, n.stats)
+	mux.HandleFunc("GET "+PathStatus, n.serveStatus)
+	mux.HandleFunc("GET "+PathConfig, n.serveConfig)
+	mux.HandleFunc("POST "+PathPush, n.servePush)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
+	withServers := r.URL.Query().Get("servers") != ""
+	now := n.clock.Now()
+	var s Status
+	if !n.View(func(e *engine.Engine) { s = statusOf(now, e, withServers) }) {
+		http.Error(w, "this instance has stopped", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, s)
+}
+
+// statusOf copies what operators see out of the engine's tables.
+func statusOf(now time.Time, e *engine.Engine, withServers bool) Status {
+	c := e.Config()
+	s := Status{
+		Instance: e.Self, NotReady: e.NotReady(now), Leaving: e.Leaving(),
+		Version: c.Version, Change: c.Change, StoreReachable: !e.StoreDown(),
+		ServersByState: map[string]int{},
+	}
+	for _, m := range e.Members.Rows() {
+		version := m.Version
+		if m.ID == e.Self.ID {
+			version = c.Version
+		}
+		s.Members = append(s.Members, MemberStatus{
+			ID: m.ID, Address: m.Address, DataCentre: m.DataCentre,
+			State: m.State.String(), Linked: m.Linked, Version: version,
+		})
+	}
+	for _, b := range e.Servers.Rows {
+		s.ServersByState[b.State.String()]++
+		if withServers {
+			s.Servers = append(s.Servers, ServerStatus{
+				ID: b.ID, DataCentre: b.DataCentre, State: b.State.String(), Boot: b.Boot,
+				InFlight: b.InFlight, Limit: b.Limit, Allowance: b.Allowance, Owner: e.Warm.Owner(b),
+				LatencyUs: b.Latency.Microseconds(), Snapshots: b.Snapshots,
+			})
+		}
+	}
+	return s
+}
+
+func (n *Node) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	var c model.Config
+	if !n.View(func(e *engine.Engine) { c = e.Config() }) {
+		http.Error(w, "this instance has stopped", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, c)
+}
+
+func (n *Node) servePush(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPush))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var p Push
+	if err := conf.DecodeStrict(data, &p); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.Post(event.RootSeen{Root: p.Root})
+	for _, d := range p.Root.Digests() {
+		if body, ok := p.Parts[d]; ok {
+			n.Post(event.PartSeen{Digest: d, Data: body})
+		}
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// publish puts the engine's counters among the variables.
+func (n *Node) publish() {
+	n.stats.Publish("counters", func() any {
+		var out any
+		n.View(func(e *engine.Engine) { out = e.Queries.Counters })
+		return out
+	})
+	n.stats.Publish("state", func() any {
+		now := n.clock.Now()
+		var out Status
+		n.View(func(e *engine.Engine) { out = statusOf(now, e, false) })
+		return out
+	})
+}
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,317 @@
+// Package peer owns the links between instances: WebSocket connections that carry
+// CBOR messages. It dials the peers that it is told to, greets, and keeps one link
+// per peer. What is sent, and what follows from a link that ends, is left to core.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// Path is where instances accept links.
+const Path = "/peer"
+
+const (
+	// maxMessage is the longest message, in bytes: a document of the
+	// configuration and its envelope.
+	maxMessage = 2 << 20
+	// sendQueue is the number of messages that wait for a slow link; more end it.
+	sendQueue = 1024
+	// dialTimeout, helloTimeout and writeTimeout bound the steps of a link.
+	dialTimeout  = time.Second
+	helloTimeout = time.Second
+	writeTimeout = 2 * time.Second
+	// redialAfter is the wait between two tries to reach a peer.
+	redialAfter = 300 * time.Millisecond
+)
+
+// Sink takes what comes in over links.
+type Sink interface {
+	// Post queues an event for the engine.
+	Post(e event.Event)
+}
+
+// Hub keeps the links of one instance. It is safe for use by many goroutines.
+type Hub struct {
+	self  model.Instance
+	sink  Sink
+	group sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[model.InstanceID]*link
+	// dialing holds the addresses with a dialer, and what ends it.
+	dialing map[string]context.CancelFunc
+	closed  bool
+}
+
+// link is one connection to a peer.
+type link struct {
+	peer model.Instance
+	// dialer is the instance that opened the connection.
+	dialer model.InstanceID
+	conn   *websocket.Conn
+	out    chan []byte
+	done   chan struct{}
+	once   sync.Once
+}
+
+func (l *link) close() {
+	l.once.Do(func() { close(l.done) })
+}
+
+// NewHub returns a hub without links.
+func NewHub(self model.Instance, sink Sink) *Hub {
+	return &Hub{self: self, sink: sink, links: map[model.InstanceID]*link{}, dialing: map[string]context.CancelFunc{}}
+}
+
+// Keep dials the given addresses until they are no longer given, and redials when
+// a link ends. This instance's own address is left out.
+func (h *Hub) Keep(ctx context.Context, addresses []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	want := map[string]bool{}
+	for _, a := range addresses {
+		want[a] = a != h.self.Address
+	}
+	for a, cancel := range h.dialing {
+		if !want[a] {
+			cancel()
+			delete(h.dialing, a)
+		}
+	}
+	for a, wanted := range want {
+		if !wanted || h.dialing[a] != nil {
+			continue
+		}
+		dialCtx, cancel := context.WithCancel(ctx)
+		h.dialing[a] = cancel
+		h.group.Go(func() { h.dialLoop(dialCtx, a) })
+	}
+}
+
+// linkedTo reports whether a link to an address is up.
+func (h *Hub) linkedTo(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.links {
+		if l.peer.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Hub) dialLoop(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		if !h.linkedTo(address) {
+			// A failure shows as the absence of a link; the next try follows.
+			_ = h.dial(ctx, address)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialAfter):
+		}
+	}
+}
+
+func (h *Hub) dial(ctx context.Context, address string) (err error) {
+	defer func() { err = errors.Wrapf(err, "link to %s", address) }()
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	conn, reply, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil)
+	cancel()
+	if err != nil {
+		return err
+	}
+	if reply != nil && reply.Body != nil {
+		_ = reply.Body.Close()
+	}
+	return h.run(ctx, conn, true)
+}
+
+// ServeHTTP accepts a link.
+func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	closed := h.closed
+	if !closed {
+		h.group.Add(1)
+	}
+	h.mu.Unlock()
+	if closed {
+		_ = conn.CloseNow()
+		return
+	}
+	defer h.group.Done()
+	_ = h.run(context.WithoutCancel(r.Context()), conn, false)
+}
+
+// run greets, registers the link and serves it until it ends.
+func (h *Hub) run(ctx context.Context, conn *websocket.Conn, dialed bool) (err error) {
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(maxMessage)
+	peer, err := h.greet(ctx, conn)
+	if err != nil {
+		return err
+	}
+	l := &link{peer: peer, dialer: peer.ID, conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{})}
+	if dialed {
+		l.dialer = h.self.ID
+	}
+	if !h.register(l) {
+		return nil
+	}
+	defer h.unregister(l)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		h.write(ctx, l)
+		cancel()
+	}()
+	return h.read(ctx, l)
+}
+
+// greet exchanges Hello messages.
+func (h *Hub) greet(ctx context.Context, conn *websocket.Conn) (peer model.Instance, err error) {
+	defer func() { err = errors.Wrap(err, "greet") }()
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	data, err := cbor.Marshal(event.Message{Hello: &event.Hello{Self: h.self}})
+	if err != nil {
+		return peer, err
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return peer, err
+	}
+	_, data, err = conn.Read(ctx)
+	if err != nil {
+		return peer, err
+	}
+	var m event.Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return peer, err
+	}
+	if m.Hello == nil || m.Hello.Self.ID == "" {
+		return peer, errors.New("the first message is not a hello")
+	}
+	if m.Hello.Self.ID == h.self.ID {
+		return peer, errors.Newf("another instance is called %q", h.self.ID)
+	}
+	return m.Hello.Self, nil
+}
+
+// register keeps one link per peer. Of two links to the same life of a peer, both
+// sides keep the one that the instance with the smaller ID dialed.
+func (h *Hub) register(l *link) bool {
+	h.mu.Lock()
+	old := h.links[l.peer.ID]
+	keepOld := old != nil && old.peer.Incarnation >= l.peer.Incarnation &&
+		(old.peer.Incarnation > l.peer.Incarnation || old.dialer <= l.dialer)
+	if h.closed || keepOld {
+		h.mu.Unlock()
+		return false
+	}
+	h.links[l.peer.ID] = l
+	h.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+	h.sink.Post(event.PeerLinked{Peer: l.peer})
+	return true
+}
+
+func (h *Hub) unregister(l *link) {
+	l.close()
+	h.mu.Lock()
+	last := h.links[l.peer.ID] == l
+	if last {
+		delete(h.links, l.peer.ID)
+	}
+	h.mu.Unlock()
+	if last {
+		h.sink.Post(event.PeerLost{Peer: l.peer.ID, Incarnation: l.peer.Incarnation})
+	}
+}
+
+func (h *Hub) read(ctx context.Context, l *link) error {
+	for {
+		_, data, err := l.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		var m event.Message
+		if err := cbor.Unmarshal(data, &m); err != nil {
+			return errors.Wrapf(err, "message of %s", l.peer.ID)
+		}
+		h.sink.Post(event.PeerReceived{From: l.peer.ID, Message: m})
+	}
+}
+
+func (h *Hub) write(ctx context.Context, l *link) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.done:
+			return
+		case data := <-l.out:
+			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := l.conn.Write(writeCtx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Send queues a message for a peer. It is dropped when there is no link; a link
+// that can't keep up is ended, and greets anew.
+func (h *Hub) Send(to model.InstanceID, m event.Message) (err error) {
+	defer func() { err = errors.Wrapf(err, "send to %s", to) }()
+	h.mu.Lock()
+	l := h.links[to]
+	h.mu.Unlock()
+	if l == nil {
+		return nil
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return err
+	}
+	select {
+	case l.out <- data:
+	default:
+		l.close()
+		return errors.New("the link can't keep up")
+	}
+	return nil
+}
+
+// Close ends all links and dialers and waits for them.
+func (h *Hub) Close() {
+	h.mu.Lock()
+	h.closed = true
+	for _, cancel := range h.dialing {
+		cancel()
+	}
+	for _, l := range h.links {
+		l.close()
+	}
+	h.mu.Unlock()
+	h.group.Wait()
+}
--- /dev/null
+++ b/io/setup/setup.go
@@ -0,0 +1,155 @@
+// Package setup owns the settings of an instance: reading them strictly, checking
+// them, and describing them from the struct that holds them. What a setting does
+// is left to the package that it is handed to.
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+)
+
+// Settings are what an instance is started with.
+type Settings struct {
+	Instance   model.InstanceID `json:"instance" help:"name of this instance, unique over the deployment" want:"1 to 64 of a-z, 0-9, '-' and '.'"`
+	DataCentre string           `json:"data-centre" help:"data centre that this instance runs in" want:"1 to 64 of a-z, 0-9, '-' and '.'"`
+	Listen     string           `json:"listen" help:"where callers connect" want:"an IP number and port"`
+	Control    string           `json:"control" help:"where peers and operators connect" want:"an IP number and port, other than listen"`
+	Store      string           `json:"store" help:"the platform's key-value service" want:"an IP number and port"`
+	Seeds      []string         `json:"seeds,omitempty" help:"control addresses of other instances, for a start while the store is down" want:"IP numbers and ports"`
+	Limits     Limits           `json:"limits" help:"how much work goes to a backend server"`
+	Hedging    bool             `json:"hedging" help:"send a second attempt of a slow leg to another replica" want:"true or false"`
+	Shutdown   Shutdown         `json:"shutdown" help:"how an instance leaves"`
+}
+
+// Limits are the settings for work on backend servers.
+type Limits struct {
+	Policy      limit.Policy `json:"policy" help:"how the limit of a warm server moves" want:"\"share\" or \"adaptive\""`
+	Connections int          `json:"connections" help:"connections that this instance opens to one backend server" want:"2 to 1000"`
+}
+
+// Shutdown are the settings for a graceful shutdown.
+type Shutdown struct {
+	Lag   model.Duration `json:"lag" help:"how long requests are still taken after readiness failed; longer than the balancer takes to notice" want:"\"0s\" to \"5m0s\""`
+	Drain model.Duration `json:"drain" help:"how long in-flight requests and records are waited for after that" want:"\"0s\" to \"5m0s\""`
+}
+
+const (
+	maxWait        = 5 * time.Minute
+	minConnections = 2
+	maxConnections = 1000
+)
+
+// Default returns the settings that hold for what a file leaves out.
+func Default() Settings {
+	return Settings{
+		Limits:   Limits{Policy: limit.PolicyAdaptive, Connections: 6},
+		Hedging:  true,
+		Shutdown: Shutdown{Lag: model.Duration(2 * time.Second), Drain: model.Duration(10 * time.Second)},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = errors.Wrapf(err, "settings %s", path) }()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return Parse(data)
+}
+
+// Parse reads and checks settings.
+func Parse(data []byte) (s Settings, err error) {
+	s = Default()
+	if err := conf.DecodeStrict(data, &s); err != nil {
+		return s, err
+	}
+	return s, s.Check()
+}
+
+// Check returns a conf.Problems error that names each setting that is wrong.
+func (s Settings) Check() error {
+	var ps conf.Problems
+	checkName(&ps, "instance", string(s.Instance))
+	checkName(&ps, "data-centre", s.DataCentre)
+	checkAddress(&ps, "listen", s.Listen)
+	checkAddress(&ps, "control", s.Control)
+	checkAddress(&ps, "store", s.Store)
+	if s.Control == s.Listen && s.Listen != "" && !strings.HasSuffix(s.Listen, ":0") {
+		ps.Add("control", s.Control, "an address other than listen")
+	}
+	for i, seed := range s.Seeds {
+		checkAddress(&ps, fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	if s.Limits.Policy != limit.PolicyShare && s.Limits.Policy != limit.PolicyAdaptive {
+		ps.Add("limits.policy", string(s.Limits.Policy), `"share" or "adaptive"`)
+	}
+	if s.Limits.Connections < minConnections || s.Limits.Connections > maxConnections {
+		ps.Add("limits.connections", s.Limits.Connections, fmt.Sprintf("%d to %d", minConnections, maxConnections))
+	}
+	checkWait(&ps, "shutdown.lag", s.Shutdown.Lag)
+	checkWait(&ps, "shutdown.drain", s.Shutdown.Drain)
+	return ps.Err()
+}
+
+func checkName(ps *conf.Problems, field, value string) {
+	if !conf.ValidName(value) {
+		ps.Add(field, value, conf.WantName)
+	}
+}
+
+func checkAddress(ps *conf.Problems, field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		ps.Add(field, value, "an IP number and port")
+	}
+}
+
+func checkWait(ps *conf.Problems, field string, value model.Duration) {
+	if value < 0 || time.Duration(value) > maxWait {
+		ps.Add(field, time.Duration(value).String(), `"0s" to "5m0s"`)
+	}
+}
+
+// Describe returns a table of all settings, their defaults and what is allowed,
+// made from the struct.
+func Describe() string {
+	var out strings.Builder
+	out.WriteString("| setting | default | allowed | meaning |\n| --- | --- | --- | --- |\n")
+	describe(&out, "", reflect.ValueOf(Default()))
+	return out.String()
+}
+
+func describe(out *strings.Builder, prefix string, v reflect.Value) {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Type.Kind() == reflect.Struct {
+			describe(out, prefix+name+".", v.Field(i))
+			continue
+		}
+		fmt.Fprintf(out, "| `%s` | %s | %s | %s |\n", prefix+name, defaultOf(v.Field(i)), field.Tag.Get("want"), field.Tag.Get("help"))
+	}
+}
+
+func defaultOf(v reflect.Value) string {
+	if v.Kind() == reflect.Slice || (v.Kind() == reflect.String && v.Len() == 0) {
+		return ""
+	}
+	if d, ok := v.Interface().(model.Duration); ok {
+		return "`\"" + time.Duration(d).String() + "\"`"
+	}
+	if v.Kind() == reflect.String {
+		return fmt.Sprintf("`%q`", v.String())
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
