--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -161,10 +161,13 @@
 	case event.PlatformListed:
 		e.platformListed(now, v)
 	case event.StoreDone:
-		e.storeSeen(now, v.Result != event.StoreUnknown)
+		e.storeSeen(v.Result != event.StoreUnknown)
 		e.Claims.StoreDone(now, v)
 	case event.StoreSeen:
-		e.storeSeen(now, v.Reachable)
+		if v.Reachable && v.CalledAt.After(e.storeAt) {
+			e.storeAt = v.CalledAt
+		}
+		e.storeSeen(v.Reachable)
 	case event.PeerLinked:
 		e.peerLinked(now, v.Peer)
 	case event.PeerLost:
@@ -224,21 +227,20 @@
 	return now.Sub(e.lastContact()) > isolatedAfter
 }
 
-// lastContact returns when the store or a peer was last heard.
+// lastContact returns the latest time at which the store or a peer is known to have
+// been in reach: when the question was sent that it answered. The arrival of an
+// answer would prove less, since it may have waited while this process stood still.
 func (e *Engine) lastContact() time.Time {
 	last := e.storeAt
 	for _, m := range e.Members.Rows() {
-		if m.Linked && m.HeardAt.After(last) {
-			last = m.HeardAt
+		if m.ContactAt.After(last) {
+			last = m.ContactAt
 		}
 	}
 	return last
 }
 
-func (e *Engine) storeSeen(now time.Time, reachable bool) {
-	if reachable {
-		e.storeAt = now
-	}
+func (e *Engine) storeSeen(reachable bool) {
 	if reachable == e.storeDown {
 		from, to := "reachable", "unreachable"
 		if reachable {
--- /dev/null
+++ b/core/engine/engine_test.go
@@ -0,0 +1,106 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// testConfig declares one service of some groups, three servers each in three data
+// centres.
+func testConfig(groups int) model.Config {
+	c := model.Config{DataCentres: []model.DataCentre{
+		{Name: "dc0", Region: "r0", State: model.DataCentreIn},
+		{Name: "dc1", Region: "r1", State: model.DataCentreIn},
+		{Name: "dc2", Region: "r2", State: model.DataCentreIn},
+	}}
+	svc := model.Service{
+		Name: "desk", Epoch: 1, Slots: 3, Connections: 30,
+		Classes: []model.Class{
+			{Name: "lookup", Deadline: model.Duration(250 * time.Millisecond), LeastCoverage: 0.5},
+			{Name: "urgent", Urgent: true, Deadline: model.Duration(250 * time.Millisecond), LeastCoverage: 1},
+			{Name: "order", NonIdempotent: true, Deadline: model.Duration(2 * time.Second), LeastCoverage: 1},
+		},
+	}
+	for g := range groups {
+		group := model.Group{Name: fmt.Sprintf("g%d", g), Keys: model.Range{
+			From: uint32(g * model.KeySpace / groups), To: uint32((g + 1) * model.KeySpace / groups),
+		}}
+		for r := range 3 {
+			n := 3*g + r
+			group.Servers = append(group.Servers, model.Server{
+				ID: model.ServerID(fmt.Sprintf("s%d-%d", g, r)), Address: fmt.Sprintf("127.0.0.1:%d", 2000+n), DataCentre: fmt.Sprintf("dc%d", r),
+			})
+		}
+		svc.Groups = append(svc.Groups, group)
+	}
+	c.Services = []model.Service{svc}
+	return c
+}
+
+func lookup() event.Request { return event.Request{Service: "desk", Body: []byte("look")} }
+
+func order(key string) event.Request {
+	return event.Request{Service: "desk", Class: "order", Key: key, IdempotencyKey: key, Body: []byte(key)}
+}
+
+// warmUp runs the world with load until every server is warm.
+func (w *world) warmUp(t *testing.T) {
+	t.Helper()
+	w.run(3 * time.Second)
+	for range 400 {
+		for _, n := range w.nodes {
+			n.ask(lookup())
+		}
+		w.run(20 * time.Millisecond)
+		if w.allWarm() {
+			w.run(time.Second)
+			return
+		}
+	}
+	t.Fatalf("servers are not warm after %v", w.now.Sub(w.start))
+}
+
+func (w *world) allWarm() bool {
+	for _, id := range w.ids {
+		if w.servers[id].warmth < warmRuns {
+			return false
+		}
+	}
+	for _, n := range w.nodes {
+		for _, b := range n.engine.Servers.Rows {
+			if b.State.String() != "warm" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// finish lets everything come to rest and fails the test if a promise was broken.
+func (w *world) finish(t *testing.T) {
+	t.Helper()
+	w.run(5 * time.Second)
+	w.checkEnd()
+	if len(w.wrong) > 0 {
+		t.Error(w.report())
+	}
+}
+
+func TestWarmUpStaysWithinWhatColdServersBear(t *testing.T) {
+	w := newWorld(1, testConfig(4), 4)
+	w.warmUp(t)
+	for _, id := range w.ids {
+		if got := w.servers[id].overloads; got != 0 {
+			t.Errorf("server %s: fell over %d times, want 0", id, got)
+		}
+	}
+	a := w.nodes[0].ask(lookup())
+	w.finish(t)
+	if a.answer == nil || a.answer.Status != event.StatusComplete {
+		t.Errorf("got %+v %+v, want a complete answer", a.answer, a.refusal)
+	}
+}
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -40,6 +40,7 @@
 	case m.Ping != nil:
 		e.pinged(from, m.Ping)
 	case m.Pong != nil:
+		e.Members.Contact(from, time.Unix(0, m.Pong.SentAt))
 		e.compare(from, m.Pong.View, m.Pong.Version)
 	case m.Members != nil:
 		e.spreadMembers(now, from, e.Members.Apply(now, m.Members.News))
@@ -67,7 +68,9 @@
 			e.Queries.ServerChanged(b)
 		}
 	case m.Suspects != nil:
-		e.Suspects.Apply(now, *m.Suspects)
+		if e.Suspects.Apply(now, *m.Suspects) {
+			e.broadcastBut(from, m)
+		}
 	}
 }
 
@@ -80,7 +83,7 @@
 
 func (e *Engine) pinged(from model.InstanceID, p *event.Ping) {
 	e.Send(from, event.Message{Pong: &event.Pong{
-		Sequence: p.Sequence, View: e.Members.Digest(), Version: e.config.inForce.Version,
+		SentAt: p.SentAt, View: e.Members.Digest(), Version: e.config.inForce.Version,
 	}})
 	e.compare(from, p.View, p.Version)
 }
--- /dev/null
+++ b/core/engine/servers_test.go
@@ -0,0 +1,179 @@
+package engine_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// fakeServer is a backend server with slots, a cold start and faults.
+type fakeServer struct {
+	model.Server
+	w         *world
+	group     model.Group
+	slots     int
+	up        bool
+	boot      int
+	warmth    int
+	draining  bool
+	lying     bool
+	snapshots []model.Snapshot
+	epoch     model.MapEpoch
+	inFlight  map[event.AttemptID]*fakeRun
+	// straggle is added to the time of a run; loseReplies is the number of replies
+	// that are lost after the run.
+	straggle    time.Duration
+	loseReplies int
+	// badReplies is the number of replies that are spoilt.
+	badReplies int
+	crashes    int
+	// overloads counts the crashes for more work than a cold server bears.
+	overloads int
+	coldPeak  int
+	lastTaken time.Time
+	// poisoned counts the deaths by each poison query.
+	poisoned map[string]int
+}
+
+type fakeRun struct {
+	n *node
+	c event.SendAttempt
+}
+
+func newFakeServer(w *world, svc *model.Service, g model.Group, b model.Server) *fakeServer {
+	return &fakeServer{
+		Server: b, w: w, group: g, slots: svc.Slots, up: true, boot: 1, epoch: svc.Epoch,
+		snapshots: []model.Snapshot{1}, inFlight: map[event.AttemptID]*fakeRun{}, poisoned: map[string]int{},
+	}
+}
+
+func (s *fakeServer) report() event.ServerReport {
+	return event.ServerReport{
+		Boot: fmt.Sprintf("%s-%d", s.ID, s.boot), Draining: s.draining,
+		Snapshots: slices.Clone(s.snapshots), Epoch: s.epoch,
+	}
+}
+
+func (s *fakeServer) status() event.StatusSeen {
+	if !s.up {
+		return event.StatusSeen{Server: s.ID}
+	}
+	r := s.report()
+	if s.lying {
+		r.Draining = false
+	}
+	return event.StatusSeen{Server: s.ID, Reached: true, Report: r}
+}
+
+// bears is the number of attempts that the server bears at a time.
+func (s *fakeServer) bears() int {
+	if s.warmth >= warmRuns {
+		return 3 * s.slots
+	}
+	return 1 + s.warmth*s.slots/warmRuns
+}
+
+// take handles an attempt that arrives.
+func (s *fakeServer) take(n *node, c event.SendAttempt) {
+	if n.dead {
+		return
+	}
+	refuse := func(reason event.RefusalReason) {
+		s.w.after(hop, func() {
+			n.end(c, event.AttemptEnded{Kind: event.Refused, Reason: reason, Report: s.report()})
+		})
+	}
+	switch {
+	case !s.up:
+		s.w.after(hop, func() { n.end(c, event.AttemptEnded{Kind: event.NotSent}) })
+	case s.draining:
+		refuse(event.RefusedDraining)
+	case c.Epoch != s.epoch:
+		refuse(event.RefusedEpoch)
+	case !slices.Contains(s.snapshots, c.Snapshot):
+		refuse(event.RefusedSnapshot)
+	case len(s.inFlight) >= s.bears() && s.warmth < warmRuns:
+		s.overloads++
+		s.w.note("%s fell over: %d in flight, bears %d", s.ID, len(s.inFlight), s.bears())
+		s.crash()
+	case len(s.inFlight) >= s.bears():
+		refuse(event.RefusedShed)
+	default:
+		s.start(n, c)
+	}
+}
+
+func (s *fakeServer) start(n *node, c event.SendAttempt) {
+	if s.warmth < warmRuns {
+		s.coldPeak = max(s.coldPeak, len(s.inFlight)+1)
+	}
+	s.lastTaken = s.w.now
+	run := &fakeRun{n: n, c: c}
+	s.inFlight[c.Attempt] = run
+	s.w.started[queryName(c.Attempt)] = true
+	if c.OnceKey != "" {
+		s.w.ledger[c.OnceKey]++
+	}
+	if strings.Contains(string(c.Body), "poison") {
+		s.poisoned[string(c.Body)]++
+		s.crash()
+		return
+	}
+	cost := runTime
+	if s.warmth < warmRuns {
+		cost = coldTime
+	}
+	cost += s.straggle + time.Duration(s.w.random.Int64N(int64(2*time.Millisecond)))
+	s.w.after(cost, func() { s.finish(run) })
+}
+
+func (s *fakeServer) finish(run *fakeRun) {
+	if s.inFlight[run.c.Attempt] != run {
+		return
+	}
+	delete(s.inFlight, run.c.Attempt)
+	s.warmth++
+	if s.loseReplies > 0 {
+		s.loseReplies--
+		s.w.after(hop, func() { run.n.end(run.c, event.AttemptEnded{Kind: event.Died}) })
+		return
+	}
+	end := event.AttemptEnded{
+		Kind: event.Answered, Snapshot: run.c.Snapshot, Epoch: run.c.Epoch, Report: s.report(),
+		Body: fmt.Appendf(nil, `%s/%s/%d/%d`, s.ID, s.group.Name, run.c.Snapshot, run.c.Epoch),
+	}
+	if s.badReplies > 0 {
+		s.badReplies--
+		end = event.AttemptEnded{Kind: event.BadReply}
+	}
+	s.w.after(hop, func() { run.n.end(run.c, end) })
+}
+
+// crash breaks every connection; the server comes back cold.
+func (s *fakeServer) crash() {
+	s.crashes++
+	s.up = false
+	s.warmth = 0
+	for _, id := range s.sortedRuns() {
+		run := s.inFlight[id]
+		s.w.after(hop, func() { run.n.end(run.c, event.AttemptEnded{Kind: event.Died}) })
+	}
+	clear(s.inFlight)
+	s.w.after(rebootIn, func() {
+		s.up, s.draining = true, false
+		s.boot++
+	})
+}
+
+// sortedRuns returns the attempts in flight in a repeatable order.
+func (s *fakeServer) sortedRuns() (ids []event.AttemptID) {
+	for id := range s.inFlight {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b event.AttemptID) int { return strings.Compare(a.String(), b.String()) })
+	return ids
+}
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -17,7 +17,7 @@
 func (e *Engine) upkeep(now time.Time) {
 	e.spreadMembers(now, "", e.Members.Tick(now))
 	e.relink()
-	e.ping()
+	e.ping(now)
 	e.poll(now)
 	if e.config.next.Version != 0 {
 		e.fetchNext()
@@ -56,10 +56,10 @@
 }
 
 // ping pings every linked peer.
-func (e *Engine) ping() {
+func (e *Engine) ping(now time.Time) {
 	if e.pingNumber%uint64(member.PingInterval/upkeepInterval) == 0 {
 		e.Broadcast(event.Message{Ping: &event.Ping{
-			Sequence: e.pingNumber, View: e.Members.Digest(), Version: e.config.inForce.Version,
+			SentAt: now.UnixNano(), View: e.Members.Digest(), Version: e.config.inForce.Version,
 		}})
 	}
 	e.pingNumber++
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -220,7 +220,12 @@
 }
 
 // StoreSeen reports that the store answered a call or went silent.
-type StoreSeen struct{ Reachable bool }
+type StoreSeen struct {
+	Reachable bool
+	// CalledAt is when the call began: what the store knew later may be missing
+	// from its answer.
+	CalledAt time.Time
+}
 
 // PeerLinked reports a new link to a peer.
 type PeerLinked struct{ Peer model.Instance }
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -29,8 +29,9 @@
 
 // Ping asks a peer whether it is there.
 type Ping struct {
-	// Sequence is repeated in the Pong.
-	Sequence uint64 `cbor:"1,keyasint"`
+	// SentAt is in Unix nanoseconds by the sender's clock, and is repeated in the
+	// Pong. An answer to an old ping, read late, shows no fresh contact.
+	SentAt int64 `cbor:"1,keyasint"`
 	// View is a digest of the sender's membership view.
 	View uint64 `cbor:"2,keyasint"`
 	// Version is the configuration in force at the sender.
@@ -39,9 +40,10 @@
 
 // Pong answers a Ping.
 type Pong struct {
-	Sequence uint64 `cbor:"1,keyasint"`
-	View     uint64 `cbor:"2,keyasint"`
-	Version  uint64 `cbor:"3,keyasint"`
+	// SentAt is that of the Ping.
+	SentAt  int64  `cbor:"1,keyasint"`
+	View    uint64 `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
 }
 
 // MemberState is what an instance believes of another.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -47,6 +47,8 @@
 	// Linked is set while a link is up; HeardAt is when it last carried anything.
 	Linked  bool
 	HeardAt time.Time
+	// ContactAt is when the last ping that was answered had been sent.
+	ContactAt time.Time
 	// Version is the configuration in force there, as last heard.
 	Version uint64
 }
@@ -137,6 +139,13 @@
 	}
 }
 
+// Contact records that a ping sent at a time was answered.
+func (v *View) Contact(id model.InstanceID, sentAt time.Time) {
+	if m := v.Get(id); m != nil && sentAt.After(m.ContactAt) {
+		m.ContactAt = sentAt
+	}
+}
+
 // Leave records that this instance leaves. It returns the news to pass on.
 func (v *View) Leave(now time.Time) []event.MemberNews {
 	v.left = true
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -76,16 +76,16 @@
 	return true
 }
 
-// Apply takes in another instance's word. A condemned query is not cleared.
-func (t *Table) Apply(now time.Time, s event.Suspicion) {
+// Apply takes in another instance's word. A condemned query is not cleared. It
+// returns false when the table knew as much.
+func (t *Table) Apply(now time.Time, s event.Suspicion) (fresh bool) {
 	if s.State == event.SuspicionCleared {
-		t.Clear(now, s.Fingerprint)
-		return
+		return t.Clear(now, s.Fingerprint)
 	}
-	t.set(now, s.Fingerprint, s.State)
+	return t.set(now, s.Fingerprint, s.State)
 }
 
-func (t *Table) set(now time.Time, f model.Fingerprint, state event.SuspicionState) {
+func (t *Table) set(now time.Time, f model.Fingerprint, state event.SuspicionState) (fresh bool) {
 	if t.entries == nil {
 		t.entries = map[model.Fingerprint]*Entry{}
 	}
@@ -96,14 +96,16 @@
 		t.entries[f] = e
 	}
 	if state < e.State {
-		return
+		return false
 	}
+	fresh = state > e.State
 	e.State = state
 	life := suspectLife
 	if state == event.SuspicionCondemned {
 		life = condemnedLife
 	}
 	e.ExpiresAt = now.Add(life)
+	return fresh
 }
 
 func (t *Table) makeRoom() {
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -12,7 +12,7 @@
 const (
 	// watchWait is how long one watch of the configuration root waits. It bounds
 	// how late a silent store is noticed.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// watchSlack is added to watchWait for the store to answer.
 	watchSlack = 500 * time.Millisecond
 	// watchPause is the wait after a call that failed.
@@ -29,13 +29,14 @@
 	var revision int64
 	first := true
 	for ctx.Err() == nil {
+		calledAt := n.clock.Now()
 		v, err := n.nextRoot(ctx, revision, first)
 		if err != nil {
 			n.Post(event.StoreSeen{Reachable: false})
 			pause(ctx, watchPause)
 			continue
 		}
-		n.Post(event.StoreSeen{Reachable: true})
+		n.Post(event.StoreSeen{Reachable: true, CalledAt: calledAt})
 		first = false
 		if v.Revision == 0 || v.Revision == revision {
 			continue
