--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -107,11 +107,12 @@
 	b.advance(now, p)
 }
 
-// Settle records the state of a claim that was granted.
-func (b *Book) Settle(now time.Time, e Entry, s State, result []byte) {
+// Settle records the state of a claim that was granted; answer is that of a
+// request that ran, else nil.
+func (b *Book) Settle(now time.Time, e Entry, s State, answer *Answer) {
 	e.State = s
-	if s == Ran && len(result) <= maxResult {
-		e.Result, e.Whole = result, true
+	if answer != nil && len(answer.Result) <= maxResult {
+		e.Answer = answer
 	}
 	p := b.partition(e.Digest.Partition())
 	p.updates = append(p.updates, update{entry: e, due: now.Add(batchWait)})
@@ -140,9 +141,7 @@
 	for _, p := range slices.Clone(b.order) {
 		b.giveUp(now, p)
 		b.advance(now, p)
-		if at := p.due(); !at.IsZero() && (due.IsZero() || at.Before(due)) {
-			due = at
-		}
+		due = earlier(due, p.due())
 	}
 	b.order = slices.DeleteFunc(b.order, func(p *partition) bool { return p.idle() })
 	return due
@@ -152,28 +151,34 @@
 	return len(p.claims) == 0 && len(p.updates) == 0 && p.op == 0
 }
 
-// due returns when the partition next needs a tick.
-func (p *partition) due() time.Time {
-	var at time.Time
-	earlier := func(t time.Time) {
-		if at.IsZero() || t.Before(at) {
-			at = t
-		}
-	}
+// due returns when the partition next needs a tick: for the first claim to give
+// up, and, while no call is in flight, for its next call.
+func (p *partition) due() (at time.Time) {
 	for _, c := range p.claims {
-		earlier(c.giveUp)
+		at = earlier(at, c.giveUp)
 	}
 	if p.op != 0 {
 		return at
 	}
-	if !p.retryAt.IsZero() && (len(p.claims) > 0 || len(p.updates) > 0) {
-		earlier(p.retryAt)
-		return at
+	var call time.Time
+	if len(p.claims) > 0 {
+		call = p.retryAt
 	}
 	for _, u := range p.updates {
-		earlier(u.due)
+		call = earlier(call, u.due)
+	}
+	if !call.IsZero() && call.Before(p.retryAt) {
+		call = p.retryAt
+	}
+	return earlier(at, call)
+}
+
+// earlier returns the earlier of two times; the zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
 	}
-	return at
+	return a
 }
 
 func (b *Book) partition(key string) *partition {
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -89,9 +89,18 @@
 	// ClaimedAt is in Unix seconds by the claimant's clock.
 	ClaimedAt int64 `cbor:"6,keyasint"`
 	State     State `cbor:"7,keyasint"`
-	// Result is the answer's body if it is short; Whole says that it is.
-	Result []byte `cbor:"8,keyasint,omitempty"`
-	Whole  bool   `cbor:"9,keyasint,omitempty"`
+	// Answer is set once the request ran, if its result is short.
+	Answer *Answer `cbor:"8,keyasint,omitempty"`
+}
+
+// Answer is what a resend of a request that ran is told. The shard map and the
+// snapshot are those of the run, which may have been replaced since.
+type Answer struct {
+	Group    string         `cbor:"1,keyasint"`
+	Keys     model.Range    `cbor:"2,keyasint"`
+	Epoch    model.MapEpoch `cbor:"3,keyasint"`
+	Snapshot model.Snapshot `cbor:"4,keyasint"`
+	Result   []byte         `cbor:"5,keyasint"`
 }
 
 // same reports whether two entries are the same claim, in whatever state.
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -26,6 +26,8 @@
 	// warmRuns is the number of runs after which a fake server is warm.
 	warmRuns = 12
 	rebootIn = 400 * time.Millisecond
+	// maxAtOnce is far above what a world does at one moment.
+	maxAtOnce = 100_000
 )
 
 // happening is something that is due at a time.
@@ -137,8 +139,17 @@
 // run lets a time pass.
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
+	atOnce := 0
 	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) {
 		h := heap.Pop(&w.agenda).(happening)
+		atOnce++
+		if h.at.After(w.now) {
+			atOnce = 0
+		}
+		if atOnce > maxAtOnce {
+			w.fail("more than %d things happen at one moment: an engine asks to be called again at once", maxAtOnce)
+			return
+		}
 		w.now = h.at
 		h.do()
 	}
@@ -560,3 +571,9 @@
 		return effect(), true
 	})
 }
+
+// newPicker returns a source of choices that a seed repeats.
+func newPicker(seed uint64) func(n int) int {
+	random := rand.New(rand.NewPCG(seed, 11))
+	return random.IntN
+}
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -79,6 +79,7 @@
 		ID: id, Request: r, Service: svc, Class: class, ArrivedAt: now,
 		Fingerprint: model.FingerprintOf(r.Service, r.Body),
 		AnswerBy:    now.Add(timeout - answerMargin),
+		Epoch:       svc.Epoch,
 		Legs:        legsOf(svc, r.Key),
 	}
 	if e := s.Suspects.Get(now, q.Fingerprint); e != nil && e.State == event.SuspicionCondemned {
@@ -216,9 +217,8 @@
 	switch {
 	case e.Body != q.Fingerprint:
 		s.refuseQuery(q, event.RefuseKeyReused, event.OutcomeNotRun, 0, "this Idempotency-Key was used for a request with another body; this body was not run")
-	case e.State == claim.Ran && e.Whole:
-		q.Legs[0].State, q.Legs[0].Result = LegAnswered, e.Result
-		s.answer(q, true)
+	case e.State == claim.Ran && e.Answer != nil:
+		s.answerAgain(q, *e.Answer)
 	case e.State == claim.Ran:
 		s.refuseQuery(q, event.RefuseOutcomeUnknown, event.OutcomeRan, 0, "an earlier request with this Idempotency-Key ran; its result was too long to keep")
 	case e.State == claim.Claimed:
@@ -227,3 +227,11 @@
 		s.refuseQuery(q, event.RefuseOutcomeUnknown, event.OutcomeUnknown, 0, "an earlier request with this Idempotency-Key may have run")
 	}
 }
+
+// answerAgain gives a resend the answer of the run, with the shard map and the
+// snapshot of the run.
+func (s *System) answerAgain(q *Query, a claim.Answer) {
+	q.Epoch, q.Snapshot = a.Epoch, a.Snapshot
+	q.Legs[0] = Leg{Group: model.Group{Name: a.Group, Keys: a.Keys}, State: LegAnswered, Result: a.Result}
+	s.answer(q, true)
+}
--- a/core/query/finish.go
+++ b/core/query/finish.go
@@ -97,7 +97,7 @@
 // coverage states what the legs of a query cover.
 func (s *System) coverage(q *Query) event.Coverage {
 	c := event.Coverage{
-		Epoch: q.Service.Epoch,
+		Epoch: q.Epoch,
 		Asked: make([]event.GroupCoverage, 0, len(q.Legs)), Answered: []event.GroupCoverage{}, Missing: []event.GroupCoverage{},
 	}
 	var asked, answered uint32
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -274,7 +274,9 @@
 	l.Running--
 	switch e.Kind {
 	case event.Answered:
-		s.Claims.Settle(now, *q.Claim, claim.Ran, e.Body)
+		s.Claims.Settle(now, *q.Claim, claim.Ran, &claim.Answer{
+			Group: l.Group.Name, Keys: l.Group.Keys, Epoch: e.Epoch, Snapshot: e.Snapshot, Result: e.Body,
+		})
 		if !q.Answered {
 			s.legAnswered(now, q, 0, e.Body)
 			return
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -141,7 +141,7 @@
 	s.cancelAttempts(q)
 	s.Counters.QueriesRestarted++
 	q.Round++
-	q.Service, q.Snapshot, q.Legs = svc, snapshot, legs
+	q.Service, q.Epoch, q.Snapshot, q.Legs = svc, svc.Epoch, snapshot, legs
 	s.start(now, q)
 	return true
 }
--- a/core/query/table.go
+++ b/core/query/table.go
@@ -67,6 +67,8 @@
 	ArrivedAt   time.Time
 	// AnswerBy is when the answer must go out.
 	AnswerBy time.Time
+	// Epoch is the shard map that Legs belong to.
+	Epoch model.MapEpoch
 	// Snapshot is the index version that every result must come from.
 	Snapshot model.Snapshot
 	// Round counts restarts; a reply to an attempt of an earlier round doesn't
