Let only a quorum's owner send to a cold server; verify boots after a lost connection

The allowance is now reset when a server is lost. - after a partition each side believed the other dead and neither dialled; the server stayed cold for 30 s and more. Listed instances are now dialled again. - an instance that stood still while a server restarted sent to it as warm. It now verifies the boot of every server when it resumes, and of a server that closed a connection. - a suspicion that was raised and cleared at the same time was flooded for ever (a livelock of messages). What is believed of a query now only moves up. New: an owner uses its allowance only within the lease that answers to its pings from a quorum give; ruled out: ownership by view alone, since two views may differ for as long as a partition lasts.

--- /dev/null
+++ b/core/engine/cold_test.go
@@ -0,0 +1,227 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// load sends lookups to every live node for a time.
+func (w *world) load(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		for _, n := range w.nodes {
+			n.ask(lookup())
+		}
+		w.run(loadInterval)
+	}
+}
+
+// loadInterval makes several attempts of different instances meet at a server.
+const loadInterval = 8 * time.Millisecond
+
+// ownerOf returns the node that owns a cold server in the view of node 0.
+func (w *world) ownerOf(id model.ServerID) *node {
+	n := w.nodes[0]
+	return w.node(n.engine.Warm.Owner(n.engine.Servers.Get(id)))
+}
+
+func (w *world) overloads() (n int) {
+	w.everyServer(func(s *fakeServer) { n += s.overloads })
+	return n
+}
+
+// TestColdServersGetNoMoreThanTheyBear checks promise 6: the fake servers fall over
+// when the work in flight, summed over all instances, is more than they bear.
+func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	const server = model.ServerID("s0-0")
+	tests := []struct {
+		name  string
+		fault func(w *world)
+		// backIn is the longest that the fleet may take to be warm everywhere again;
+		// it is 30 s, within which the platform's list has caught up too.
+		backIn time.Duration
+	}{
+		{name: "a server restarts", fault: func(w *world) { w.servers[server].crash() }},
+		{name: "every server of a group restarts faster than its status is read", fault: func(w *world) {
+			for r := range 3 {
+				s := w.servers[model.ServerID(fmt.Sprintf("s0-%d", r))]
+				s.rebootIn = 5 * time.Millisecond
+				s.crash()
+			}
+		}},
+		{name: "every server of a group restarts while an instance stands still", fault: func(w *world) {
+			w.nodes[0].freeze(2 * time.Second)
+			w.nodes[1].freeze(2 * time.Second)
+			w.load(time.Second)
+			for r := range 3 {
+				w.servers[model.ServerID(fmt.Sprintf("s0-%d", r))].crash()
+			}
+		}},
+		{name: "every server of a group restarts", fault: func(w *world) {
+			for r := range 3 {
+				w.servers[model.ServerID(fmt.Sprintf("s0-%d", r))].crash()
+			}
+		}},
+		{name: "a data centre restarts", fault: func(w *world) {
+			w.everyServer(func(s *fakeServer) {
+				if s.DataCentre == "dc1" {
+					s.crash()
+				}
+			})
+		}},
+		{name: "every server restarts", fault: func(w *world) { w.everyServer(func(s *fakeServer) { s.crash() }) }},
+		{name: "every server and every instance restarts", fault: func(w *world) {
+			w.everyServer(func(s *fakeServer) { s.crash() })
+			for _, n := range w.nodes {
+				n.kill()
+			}
+			for i := range 4 {
+				w.addNode(fmt.Sprintf("m%d", i))
+			}
+		}},
+		{name: "the warming instance is killed", fault: func(w *world) {
+			owner := w.ownerOf(server)
+			w.servers[server].crash()
+			w.load(time.Second)
+			owner.kill()
+		}},
+		{name: "the warming instance stands still and resumes", fault: func(w *world) {
+			owner := w.ownerOf(server)
+			w.servers[server].crash()
+			w.load(600 * time.Millisecond)
+			owner.freeze(8 * time.Second)
+		}},
+		{name: "the warming instance stands still for a short time", fault: func(w *world) {
+			owner := w.ownerOf(server)
+			w.servers[server].crash()
+			w.load(600 * time.Millisecond)
+			owner.freeze(1900 * time.Millisecond)
+		}},
+		{name: "the warming instance is cut off from its peers", fault: func(w *world) {
+			owner := w.ownerOf(server)
+			w.servers[server].crash()
+			w.load(600 * time.Millisecond)
+			owner.setCutPeers(true)
+			w.load(9 * time.Second)
+			owner.setCutPeers(false)
+		}},
+		{name: "the instances fall into two halves", fault: func(w *world) {
+			w.servers[server].crash()
+			w.load(600 * time.Millisecond)
+			w.split(2)
+			w.load(9 * time.Second)
+			w.split(0)
+		}},
+		{name: "an instance joins while a server warms", fault: func(w *world) {
+			w.servers[server].crash()
+			w.load(600 * time.Millisecond)
+			w.addNode("n4")
+			w.addNode("n5")
+		}},
+		{name: "a server restarts while the store is down", fault: func(w *world) {
+			w.store.down = true
+			w.load(time.Second)
+			w.servers[server].crash()
+			w.load(5 * time.Second)
+			w.store.down = false
+		}},
+		{name: "an instance starts while the store is down and a server is cold", fault: func(w *world) {
+			w.store.down = true
+			w.servers[server].crash()
+			w.addNode("n4")
+			w.load(5 * time.Second)
+			w.store.down = false
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				w := newWorld(seed, testConfig(2), 4)
+				w.warmUp(t)
+				start := w.now
+				test.fault(w)
+				w.load(time.Second)
+				for !w.liveAllWarm() && w.now.Sub(start) < 30*time.Second {
+					w.load(100 * time.Millisecond)
+				}
+				if !w.liveAllWarm() {
+					t.Errorf("seed %d: not warm everywhere after %v: %s", seed, w.now.Sub(start), w.states())
+				}
+				if got := w.overloads(); got != 0 {
+					t.Errorf("seed %d: servers fell over %d times, want 0\n%s", seed, got, w.report())
+				}
+				if seed == 0 {
+					t.Logf("warm everywhere after %v", w.now.Sub(start))
+				}
+				w.finish(t)
+			}
+		})
+	}
+}
+
+// split cuts the links between the first half nodes and the others; zero joins them
+// again.
+func (w *world) split(half int) {
+	w.splitAt = half
+	for i, n := range w.nodes {
+		for j, o := range w.nodes {
+			if l := n.links[o.id]; l != nil && half > 0 && (i < half) != (j < half) {
+				l.drop()
+			}
+		}
+	}
+}
+
+// liveAllWarm reports whether every live node sees every server warm.
+func (w *world) liveAllWarm() bool { return w.states() == "" }
+
+// states lists the servers that are not warm.
+func (w *world) states() (out string) {
+	for _, n := range w.nodes {
+		if n.dead {
+			continue
+		}
+		if len(n.engine.Servers.Rows) == 0 {
+			out += fmt.Sprintf("%s has no configuration ", n.id)
+		}
+		for _, b := range n.engine.Servers.Rows {
+			if b.State.String() != "warm" {
+				out += fmt.Sprintf("%s:%s=%s(%s) ", n.id, b.ID, b.State, n.engine.Warm.Owner(b))
+			}
+		}
+	}
+	return out
+}
+
+// TestServerColdWithoutWarning checks that a server which turns cold without a
+// restart, and without falling over at once, is found out and warmed up again.
+func TestServerColdWithoutWarning(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, testConfig(2), 4)
+		w.warmUp(t)
+		s := w.servers["s0-0"]
+		s.sturdy, s.warmth = true, 0
+		w.load(5 * time.Second)
+		generations := 0
+		for _, n := range w.nodes {
+			generations = max(generations, int(n.engine.Servers.Get("s0-0").Generation))
+		}
+		if generations == 0 {
+			t.Errorf("seed %d: no instance noticed that the server turned cold", seed)
+		}
+		for i := 0; !w.liveAllWarm() && i < 200; i++ {
+			w.load(100 * time.Millisecond)
+		}
+		if !w.liveAllWarm() {
+			t.Errorf("seed %d: not warm again: %s", seed, w.states())
+		}
+		a := w.nodes[1].ask(lookup())
+		w.finish(t)
+		if a.answer == nil || a.answer.Status != event.StatusComplete {
+			t.Errorf("seed %d: got %+v %+v, want a complete answer", seed, a.answer, a.refusal)
+		}
+	}
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -46,11 +46,14 @@
 	commands []event.Command
 	config   holder
 
-	lastTick   time.Time
-	upkeepAt   time.Time
-	startedAt  time.Time
-	storeAt    time.Time
-	storeDown  bool
+	lastTick  time.Time
+	upkeepAt  time.Time
+	startedAt time.Time
+	storeAt   time.Time
+	storeDown bool
+	// listed is the platform's list as last read, or as a peer told it at the start
+	// while the store was silent; nil before.
+	listed     []event.ListedInstance
 	leaving    bool
 	pingNumber uint64
 	linked     []model.Instance
@@ -73,7 +76,7 @@
 		Self: self, Servers: &limit.Table{PerServer: o.PerServer}, Suspects: &poison.Table{},
 		Members: member.New(now, self), startedAt: now, lastTick: now, storeAt: now,
 	}
-	e.Warm = &warm.Keeper{Self: self.ID, Servers: e.Servers, Peers: e}
+	e.Warm = &warm.Keeper{Self: self.ID, Servers: e.Servers, Peers: e, LeaseEnds: e.leaseEnds}
 	e.Claims = claim.NewBook(self, e)
 	e.Queries = &query.System{
 		Self: self, Options: o.Query, Servers: e.Servers, Warm: e.Warm, Suspects: e.Suspects,
@@ -145,6 +148,9 @@
 func (e *Engine) resumed(now time.Time) {
 	e.Emit(event.StateChanged{Kind: "instance", Name: string(e.Self.ID), From: "paused", To: "running", Why: "no tick for " + now.Sub(e.lastTick).String()})
 	e.Warm.Paused(now)
+	for _, b := range e.Servers.Rows {
+		e.verify(b)
+	}
 }
 
 // take hands one event to the system that it concerns.
@@ -156,6 +162,10 @@
 		e.Queries.Abandon(now, v.Query)
 	case event.AttemptEnded:
 		e.Queries.Ended(now, v)
+	case event.ConnectionLost:
+		if b := e.Servers.At(v.Address); b != nil {
+			e.verify(b)
+		}
 	case event.StatusSeen:
 		e.statusSeen(now, v)
 	case event.PlatformListed:
@@ -240,6 +250,15 @@
 	return last
 }
 
+// leaseEnds returns when the contact with a quorum of the instances ends. Without a
+// list from the platform nobody knows who else there is: there is no lease.
+func (e *Engine) leaseEnds() time.Time {
+	if e.listed == nil {
+		return time.Time{}
+	}
+	return e.Members.QuorumContact(e.lastTick).Add(warm.QuorumLease)
+}
+
 func (e *Engine) storeSeen(reachable bool) {
 	if reachable == e.storeDown {
 		from, to := "reachable", "unreachable"
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -12,7 +12,7 @@
 // peerLinked greets a new peer with all that it may lack.
 func (e *Engine) peerLinked(now time.Time, p model.Instance) {
 	e.spreadMembers(now, "", e.Members.Link(now, p))
-	e.Send(p.ID, event.Message{Members: &event.Members{News: e.Members.All(), Whole: true}})
+	e.sendView(p.ID)
 	if e.config.inForce.Version != 0 {
 		e.Send(p.ID, event.Message{Root: &event.RootNews{Root: e.config.root}})
 	}
@@ -23,6 +23,11 @@
 	e.viewChanged(now)
 }
 
+// sendView sends the whole view and the platform's list to a peer.
+func (e *Engine) sendView(to model.InstanceID) {
+	e.Send(to, event.Message{Members: &event.Members{News: e.Members.All(), Whole: true, Listed: e.listed}})
+}
+
 // serverNews returns what this instance knows of the servers that it has heard.
 func (e *Engine) serverNews() (news []event.ServerNews) {
 	for _, b := range e.Servers.Rows {
@@ -43,6 +48,10 @@
 		e.Members.Contact(from, time.Unix(0, m.Pong.SentAt))
 		e.compare(from, m.Pong.View, m.Pong.Version)
 	case m.Members != nil:
+		if e.listed == nil && m.Members.Listed != nil {
+			e.listed = m.Members.Listed
+			e.Members.Listed(e.listed)
+		}
 		e.spreadMembers(now, from, e.Members.Apply(now, m.Members.News))
 	case m.Root != nil:
 		e.rootSeen(m.Root.Root, from)
@@ -95,7 +104,7 @@
 		m.Version = version
 	}
 	if view != e.Members.Digest() {
-		e.Send(from, event.Message{Members: &event.Members{News: e.Members.All(), Whole: true}})
+		e.sendView(from)
 	}
 	if version < e.config.inForce.Version {
 		e.Send(from, event.Message{Root: &event.RootNews{Root: e.config.root}})
--- a/core/engine/servers_test.go
+++ b/core/engine/servers_test.go
@@ -13,11 +13,13 @@
 // fakeServer is a backend server with slots, a cold start and faults.
 type fakeServer struct {
 	model.Server
-	w         *world
-	group     model.Group
-	slots     int
-	up        bool
-	boot      int
+	w     *world
+	group model.Group
+	slots int
+	up    bool
+	boot  int
+	// sturdy makes a cold server shed what it doesn't bear, in place of a fall.
+	sturdy    bool
 	warmth    int
 	draining  bool
 	lying     bool
@@ -37,6 +39,7 @@
 	lastTaken time.Time
 	// poisoned counts the deaths by each poison query.
 	poisoned map[string]int
+	rebootIn time.Duration
 }
 
 type fakeRun struct {
@@ -47,7 +50,7 @@
 func newFakeServer(w *world, svc *model.Service, g model.Group, b model.Server) *fakeServer {
 	return &fakeServer{
 		Server: b, w: w, group: g, slots: svc.Slots, up: true, boot: 1, epoch: svc.Epoch,
-		snapshots: []model.Snapshot{1}, inFlight: map[event.AttemptID]*fakeRun{}, poisoned: map[string]int{},
+		snapshots: []model.Snapshot{1}, inFlight: map[event.AttemptID]*fakeRun{}, poisoned: map[string]int{}, rebootIn: rebootIn,
 	}
 }
 
@@ -96,7 +99,7 @@
 		refuse(event.RefusedEpoch)
 	case !slices.Contains(s.snapshots, c.Snapshot):
 		refuse(event.RefusedSnapshot)
-	case len(s.inFlight) >= s.bears() && s.warmth < warmRuns:
+	case len(s.inFlight) >= s.bears() && s.warmth < warmRuns && !s.sturdy:
 		s.overloads++
 		s.w.note("%s fell over: %d in flight, bears %d", s.ID, len(s.inFlight), s.bears())
 		s.crash()
@@ -163,7 +166,12 @@
 		s.w.after(hop, func() { run.n.end(run.c, event.AttemptEnded{Kind: event.Died}) })
 	}
 	clear(s.inFlight)
-	s.w.after(rebootIn, func() {
+	s.w.after(hop, func() {
+		for _, n := range s.w.nodes {
+			n.post(event.ConnectionLost{Address: s.Address})
+		}
+	})
+	s.w.after(s.rebootIn, func() {
 		s.up, s.draining = true, false
 		s.boot++
 	})
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -18,6 +18,9 @@
 	e.spreadMembers(now, "", e.Members.Tick(now))
 	e.relink()
 	e.ping(now)
+	for _, b := range e.Servers.Rows {
+		b.Fade()
+	}
 	e.poll(now)
 	if e.config.next.Version != 0 {
 		e.fetchNext()
@@ -71,12 +74,21 @@
 	for i, b := range e.Servers.Rows {
 		down := b.State == limit.Down && !now.Before(b.DownUntil)
 		due := (e.pingNumber+uint64(i))%uint64(pollInterval/upkeepInterval) == 0
-		if down || due || b.State == limit.Unknown {
+		if down || due || b.Unverified || b.State == limit.Unknown {
 			e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
 		}
 	}
 }
 
+// verify keeps work from a server until its status shows which boot it is in.
+func (e *Engine) verify(b *limit.Server) {
+	if b.Unverified || b.State == limit.Unknown || b.State == limit.Down {
+		return
+	}
+	b.Unverified = true
+	e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
+}
+
 // statusSeen takes in a server's status. It may start a drain or show another
 // boot; it never raises a limit.
 func (e *Engine) statusSeen(now time.Time, v event.StatusSeen) {
@@ -86,14 +98,19 @@
 	}
 	before := b.State
 	if !v.Reached {
-		if b.State == limit.Down {
+		if b.State == limit.Down || b.Unverified {
 			b.Lost(now)
 		}
+		e.noteServer(now, b, before, "status unreachable")
 		return
 	}
+	wasUnverified := b.Unverified
 	if !b.Seen(v.Report) {
 		b.Back()
 	}
+	if wasUnverified {
+		e.Queries.ServerChanged(b)
+	}
 	switch {
 	case v.Report.Draining:
 		b.StartDrain(limit.DrainByStatus)
@@ -117,6 +134,7 @@
 
 // platformListed takes in the platform's list.
 func (e *Engine) platformListed(now time.Time, v event.PlatformListed) {
+	e.listed = v.Instances
 	e.Members.Listed(v.Instances)
 	for _, l := range v.Servers {
 		b := e.Servers.Get(l.ID)
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hyssoppitch/core/conf"
@@ -82,7 +83,9 @@
 	outSince map[string]time.Time
 	// faults lists what was done, for the report of a failure.
 	faults []string
-	wrong  []string
+	// splitAt parts the first nodes from the others; zero is no split.
+	splitAt int
+	wrong   []string
 }
 
 // ask is one request of a fake caller.
@@ -148,7 +151,8 @@
 		}
 		if atOnce > maxAtOnce {
 			w.fail("more than %d things happen at one moment: an engine asks to be called again at once", maxAtOnce)
-			return
+			w.agenda = nil
+			break
 		}
 		w.now = h.at
 		h.do()
@@ -202,6 +206,7 @@
 	engine *engine.Engine
 	self   model.Instance
 	dead   bool
+	diedAt time.Time
 	frozen bool
 	// cutPeers and cutStore are faults of the node's network.
 	cutPeers bool
@@ -290,6 +295,7 @@
 // break.
 func (n *node) kill() {
 	n.dead = true
+	n.diedAt = n.w.now
 	for _, a := range n.queries {
 		a.lost = true
 	}
@@ -327,9 +333,15 @@
 	n.w.after(200*time.Millisecond, func() { n.followStore() })
 }
 
-// listed is the platform's list: it lags, so it holds dead nodes too.
+// listLag is how long the platform's list shows a node that died.
+const listLag = 8 * time.Second
+
+// listed is the platform's list.
 func (w *world) listed() (out []event.ListedInstance) {
 	for _, n := range w.nodes {
+		if n.dead && w.now.Sub(n.diedAt) > listLag {
+			continue
+		}
 		out = append(out, event.ListedInstance{ID: n.id, Address: string(n.id), DataCentre: n.self.DataCentre, State: event.ListedLive})
 	}
 	return out
@@ -342,13 +354,19 @@
 	}
 	for _, p := range n.want {
 		other := n.w.node(p.ID)
-		if other != nil && n.running() && other.running() && n.links[p.ID] == nil && !n.cutPeers && !other.cutPeers {
+		if other != nil && n.running() && other.running() && n.links[p.ID] == nil && !n.cutPeers && !other.cutPeers && !n.w.parted(n, other) {
 			n.link(other)
 		}
 	}
 	n.w.after(100*time.Millisecond, func() { n.keepLinks() })
 }
 
+// parted reports whether a split lies between two nodes.
+func (w *world) parted(a, b *node) bool {
+	first := func(n *node) bool { return slices.Index(w.nodes, n) < w.splitAt }
+	return w.splitAt > 0 && first(a) != first(b)
+}
+
 func (w *world) node(id model.InstanceID) *node {
 	for i := len(w.nodes) - 1; i >= 0; i-- {
 		if w.nodes[i].id == id && !w.nodes[i].dead {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -156,6 +156,13 @@
 	Report   ServerReport
 }
 
+// ConnectionLost reports that a backend server closed a connection: it may have
+// restarted.
+type ConnectionLost struct {
+	// Address is that of the server.
+	Address string
+}
+
 // StatusSeen reports what a server's status endpoint says. It may lag or mislead.
 type StatusSeen struct {
 	Server model.ServerID
@@ -261,6 +268,7 @@
 func (QueryArrived) isEvent()   {}
 func (CallerGone) isEvent()     {}
 func (AttemptEnded) isEvent()   {}
+func (ConnectionLost) isEvent() {}
 func (StatusSeen) isEvent()     {}
 func (PlatformListed) isEvent() {}
 func (StoreDone) isEvent()      {}
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -77,6 +77,9 @@
 	News []MemberNews `cbor:"1,keyasint"`
 	// Whole is set when News is the sender's whole view.
 	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Listed is the platform's list as the sender last read it, with Whole; nil if
+	// it never has.
+	Listed []ListedInstance `cbor:"3,keyasint,omitempty"`
 }
 
 // RootNews carries a configuration root.
@@ -120,6 +123,8 @@
 // Want asks the owner of a cold server for leave to send it one attempt.
 type Want struct {
 	Server model.ServerID `cbor:"1,keyasint"`
+	// AskedAt is in Unix nanoseconds by the sender's clock.
+	AskedAt int64 `cbor:"2,keyasint"`
 }
 
 // Grant gives leave to send one attempt to a cold server.
@@ -127,6 +132,9 @@
 	Server model.ServerID `cbor:"1,keyasint"`
 	// Number identifies the grant at its owner.
 	Number uint64 `cbor:"2,keyasint"`
+	// AskedAt is that of the Want. The leave counts from there, so that one that
+	// is read late is not used late.
+	AskedAt int64 `cbor:"3,keyasint"`
 }
 
 // Returned gives a grant back, used or not.
@@ -144,12 +152,13 @@
 // SuspicionState is what is believed of a fingerprint.
 type SuspicionState int
 
-// The states of a fingerprint. A higher state overrides a lower.
+// The states of a fingerprint. Within a generation a higher state overrides a
+// lower.
 const (
-	// SuspicionCleared: an attempt alone on a server was answered.
-	SuspicionCleared SuspicionState = iota + 1
 	// SuspicionRaised: a server died with the query in flight.
-	SuspicionRaised
+	SuspicionRaised SuspicionState = iota + 1
+	// SuspicionCleared: an attempt alone on a server was answered.
+	SuspicionCleared
 	// SuspicionCondemned: a server died with the query in flight as a suspect.
 	SuspicionCondemned
 )
@@ -158,4 +167,7 @@
 type Suspicion struct {
 	Fingerprint model.Fingerprint `cbor:"1,keyasint"`
 	State       SuspicionState    `cbor:"2,keyasint"`
+	// Generation rises when a cleared query is suspected again. A higher one
+	// overrides a lower, except that SuspicionCondemned overrides all.
+	Generation uint64 `cbor:"3,keyasint"`
 }
--- a/core/limit/adapt.go
+++ b/core/limit/adapt.go
@@ -26,14 +26,19 @@
 	// slowFactor times Base is far above the usual latency.
 	slowFactor = 3
 	// slowRun and shedRun are how many slow answers or sheds in a row make a
-	// warm server cold.
-	slowRun = 5
-	shedRun = 3
+	// warm server cold; slowAlone is how many do when no other server of the group
+	// is fast.
+	slowRun   = 3
+	slowAlone = 10
+	shedRun   = 3
 	// slowFloor is the least latency that counts as slow: below it the scheduler
 	// of a loaded machine makes as much difference.
 	slowFloor = 20 * time.Millisecond
 	// latencyFall is the weight of a sample below the estimate.
 	latencyFall = 0.1
+	// fade is the part of the distance to the base that an estimate loses with each
+	// call of Fade.
+	fade = 0.25
 	// baseRise is the weight of a sample above the base.
 	baseRise = 0.002
 )
@@ -103,5 +108,11 @@
 			return true
 		}
 	}
-	return s.Slow >= 2*slowRun
+	return s.Slow >= slowAlone
+}
+
+// Fade moves the latency estimate towards the base as time passes. A server that
+// was slow once is avoided, so that no answer would show that it is fast again.
+func (s *Server) Fade() {
+	s.Latency -= time.Duration(fade * float64(s.Latency-s.Base))
 }
--- a/core/limit/state.go
+++ b/core/limit/state.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -16,6 +15,9 @@
 // returns true when the report shows another boot than the one known: the server
 // is then cold, whatever was known before.
 func (s *Server) Seen(r event.ServerReport) (rebooted bool) {
+	if r.Boot != "" {
+		s.Unverified = false
+	}
 	if r.Snapshots != nil {
 		s.Snapshots = r.Snapshots
 	}
@@ -80,6 +82,8 @@
 // Lost records that the server could not be reached. It is tried again after a
 // backoff that doubles up to lastBackoff.
 func (s *Server) Lost(now time.Time) {
+	s.Unverified = false
+	s.Allowance = 1
 	if s.State != Draining {
 		s.State = Down
 	}
@@ -144,6 +148,3 @@
 	}
 	return true
 }
-
-// Unqueue removes an instance from those that wait for a grant.
-func (s *Server) Unqueue(i int) { s.Waiting = slices.Delete(s.Waiting, i, i+1) }
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -70,6 +70,9 @@
 	// Drain is the set of sources that say the server is leaving. Non-zero
 	// exactly when State is Draining.
 	Drain DrainSource
+	// Unverified is set when the server may have restarted since it was last heard:
+	// it gets no work until its status shows which boot this is.
+	Unverified bool
 	// DownUntil and Backoff space the tries to reach a server that is Down.
 	DownUntil time.Time
 	Backoff   time.Duration
@@ -106,8 +109,8 @@
 	Streak    int
 	// Grants are the leaves given to other instances and not yet returned.
 	Grants []GivenGrant
-	// Waiting lists the instances that asked for leave, first come first.
-	Waiting []model.InstanceID
+	// Waiting lists the requests for leave, one per instance, first come first.
+	Waiting []WaitingWant
 	// Held is the leave that another owner gave to this instance, or nil.
 	Held *HeldGrant
 	// WantedAt is when this instance last asked the owner for leave.
@@ -120,6 +123,15 @@
 	SuspectInFlight int
 }
 
+// WaitingWant is an instance's request for leave.
+type WaitingWant struct {
+	From model.InstanceID
+	// AskedAt is repeated in the grant.
+	AskedAt int64
+	// ArrivedAt is when the request came.
+	ArrivedAt time.Time
+}
+
 // GivenGrant is a leave that an owner gave and has not got back.
 type GivenGrant struct {
 	Number uint64
@@ -145,8 +157,9 @@
 	// Rows is in the order of the configuration; decisions walk it, never a map.
 	Rows []*Server
 	// byID and byGroup index Rows.
-	byID    map[model.ServerID]*Server
-	byGroup map[GroupKey][]*Server
+	byID      map[model.ServerID]*Server
+	byAddress map[string]*Server
+	byGroup   map[GroupKey][]*Server
 }
 
 // GroupKey names a group over all services.
@@ -158,6 +171,9 @@
 // Get returns a server's row, or nil.
 func (t *Table) Get(id model.ServerID) *Server { return t.byID[id] }
 
+// At returns the row of the server at an address, or nil.
+func (t *Table) At(address string) *Server { return t.byAddress[address] }
+
 // Group returns the rows of a group in order of the configuration.
 func (t *Table) Group(service, group string) []*Server {
 	return t.byGroup[GroupKey{Service: service, Group: group}]
@@ -169,6 +185,7 @@
 	old := t.byID
 	t.Rows = nil
 	t.byID = map[model.ServerID]*Server{}
+	t.byAddress = map[string]*Server{}
 	t.byGroup = map[GroupKey][]*Server{}
 	for i := range c.Services {
 		s := &c.Services[i]
@@ -200,6 +217,7 @@
 	key := GroupKey{Service: row.Service, Group: row.Group}
 	t.Rows = append(t.Rows, row)
 	t.byID[row.ID] = row
+	t.byAddress[row.Address] = row
 	t.byGroup[key] = append(t.byGroup[key], row)
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// PingInterval is the time between two pings of a link.
-	PingInterval = time.Second
+	// PingInterval is the time between two pings of a link. Two of them fit into
+	// the quorum lease of package warm, so that one lost answer does no harm.
+	PingInterval = 500 * time.Millisecond
 	// silentAfter is the silence after which a peer is suspected.
 	silentAfter = 2 * time.Second
 	// deadAfter is how long a suspect has to refute.
@@ -64,7 +65,8 @@
 	Self model.Instance
 	// rows is sorted by ID and holds Self.
 	rows []*Member
-	// listed holds the platform's list, minus Self.
+	// listed holds the instances on the platform's list, minus Self, in order of
+	// ID.
 	listed []model.Instance
 	left   bool
 }
@@ -205,6 +207,58 @@
 			v.listed = append(v.listed, model.Instance{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre})
 		}
 	}
+	slices.SortFunc(v.listed, func(a, b model.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// electorate returns the instances that a quorum is counted over: those on the
+// platform's list and those that live, this one included, in order of ID. The list
+// lags, so that an instance that went away counts for a while; it can't be taken
+// off by those that merely don't hear it.
+func (v *View) electorate() []model.InstanceID {
+	ids := v.Live()
+	for _, l := range v.listed {
+		ids = append(ids, l.ID)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// QuorumContact returns the time since which a quorum of the electorate, this
+// instance included, has answered a ping: each of them answered one that was sent
+// then or later. Half of an even number is a quorum if the first instance in order
+// of ID is among them, so that of two halves one goes on. The zero time means that
+// there was no such contact.
+func (v *View) QuorumContact(now time.Time) time.Time {
+	ids := v.electorate()
+	contacts := make([]time.Time, len(ids))
+	for i, id := range ids {
+		contacts[i] = v.contactAt(now, id)
+	}
+	first := contacts[0]
+	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
+	if len(ids)%2 == 0 {
+		// With the first one, half is enough.
+		half := contacts[len(ids)/2-1]
+		if first.Before(half) {
+			half = first
+		}
+		if majority := contacts[len(ids)/2]; majority.After(half) {
+			return majority
+		}
+		return half
+	}
+	return contacts[len(ids)/2]
+}
+
+// contactAt returns when the last answered ping to an instance had been sent.
+func (v *View) contactAt(now time.Time, id model.InstanceID) time.Time {
+	if id == v.Self.ID {
+		return now
+	}
+	if m := v.Get(id); m != nil {
+		return m.ContactAt
+	}
+	return time.Time{}
 }
 
 // Tick moves the states that depend on time. It returns the news to pass on.
@@ -268,8 +322,9 @@
 	return out
 }
 
-// candidates returns the live instances and those that the platform lists and the
-// view doesn't know to be dead, this one included.
+// candidates returns the live instances and those that the platform lists, this one
+// included. One that is listed and believed dead is among them: after a partition
+// each side believes the other dead, and somebody has to try.
 func (v *View) candidates() []model.Instance {
 	var out []model.Instance
 	for _, m := range v.rows {
@@ -278,7 +333,7 @@
 		}
 	}
 	for _, l := range v.listed {
-		if v.Get(l.ID) == nil {
+		if m := v.Get(l.ID); m == nil || m.State == event.MemberDead {
 			out = append(out, l)
 		}
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -24,10 +24,12 @@
 	maxEntries = 4096
 )
 
-// Entry is one suspected or condemned query.
+// Entry is one query of which something is believed.
 type Entry struct {
-	// State is SuspicionRaised or SuspicionCondemned.
-	State event.SuspicionState
+	// State and Generation order what is believed; see event.Suspicion. They only
+	// move up, so that news flooded among the instances comes to rest.
+	State      event.SuspicionState
+	Generation uint64
 	// ExpiresAt ends the entry.
 	ExpiresAt time.Time
 	// Running counts attempts in flight anywhere from this instance; at most 1
@@ -40,8 +42,17 @@
 	entries map[model.Fingerprint]*Entry
 }
 
-// Get returns the live entry of a fingerprint, or nil.
+// Get returns the entry of a query that is suspected or condemned, or nil.
 func (t *Table) Get(now time.Time, f model.Fingerprint) *Entry {
+	e := t.live(now, f)
+	if e == nil || e.State == event.SuspicionCleared {
+		return nil
+	}
+	return e
+}
+
+// live returns the entry of a fingerprint, cleared or not, or nil.
+func (t *Table) live(now time.Time, f model.Fingerprint) *Entry {
 	e := t.entries[f]
 	if e == nil || !now.Before(e.ExpiresAt) {
 		delete(t.entries, f)
@@ -55,57 +66,77 @@
 
 // Death records that a server died with the query in flight; alone says that the
 // attempt was sent when the query was a suspect already, and so was the only
-// suspect there. It returns the state to tell other instances.
+// suspect there. It returns what to tell the other instances.
 func (t *Table) Death(now time.Time, f model.Fingerprint, alone bool) event.Suspicion {
-	state := event.SuspicionRaised
+	news := event.Suspicion{Fingerprint: f, State: event.SuspicionRaised, Generation: 1}
+	if e := t.live(now, f); e != nil {
+		news.Generation = e.Generation
+		if e.State == event.SuspicionCleared {
+			news.Generation++
+		}
+	}
 	if alone {
-		state = event.SuspicionCondemned
+		news.State = event.SuspicionCondemned
 	}
-	t.set(now, f, state)
-	return event.Suspicion{Fingerprint: f, State: state}
+	t.Apply(now, news)
+	return news
 }
 
-// Clear records that a suspect was answered. It returns false when there was
-// nothing to clear.
-func (t *Table) Clear(now time.Time, f model.Fingerprint) bool {
-	e := t.Get(now, f)
+// Clear records that a suspect was answered. It returns what to tell the other
+// instances, and false when there was nothing to clear.
+func (t *Table) Clear(now time.Time, f model.Fingerprint) (news event.Suspicion, ok bool) {
+	e := t.live(now, f)
 	if e == nil || e.State != event.SuspicionRaised {
-		return false
+		return news, false
 	}
-	delete(t.entries, f)
-	return true
+	news = event.Suspicion{Fingerprint: f, State: event.SuspicionCleared, Generation: e.Generation}
+	return news, t.Apply(now, news)
 }
 
-// Apply takes in another instance's word. A condemned query is not cleared. It
-// returns false when the table knew as much.
+// Apply takes in another instance's word. It returns false when the table knew as
+// much.
 func (t *Table) Apply(now time.Time, s event.Suspicion) (fresh bool) {
-	if s.State == event.SuspicionCleared {
-		return t.Clear(now, s.Fingerprint)
-	}
-	return t.set(now, s.Fingerprint, s.State)
-}
-
-func (t *Table) set(now time.Time, f model.Fingerprint, state event.SuspicionState) (fresh bool) {
-	if t.entries == nil {
-		t.entries = map[model.Fingerprint]*Entry{}
+	e := t.live(now, s.Fingerprint)
+	if e != nil && !supersedes(s, *e) {
+		return false
 	}
-	e := t.Get(now, f)
 	if e == nil {
-		t.makeRoom()
-		e = &Entry{}
-		t.entries[f] = e
+		e = t.add(s.Fingerprint)
 	}
-	if state < e.State {
-		return false
+	e.State, e.Generation = s.State, s.Generation
+	if s.State == event.SuspicionCleared {
+		e.Running = 0
 	}
-	fresh = state > e.State
-	e.State = state
 	life := suspectLife
-	if state == event.SuspicionCondemned {
+	if s.State == event.SuspicionCondemned {
 		life = condemnedLife
 	}
 	e.ExpiresAt = now.Add(life)
-	return fresh
+	return true
+}
+
+// supersedes reports whether news overrides an entry.
+func supersedes(s event.Suspicion, e Entry) bool {
+	switch {
+	case e.State == event.SuspicionCondemned:
+		return false
+	case s.State == event.SuspicionCondemned:
+		return true
+	case s.Generation != e.Generation:
+		return s.Generation > e.Generation
+	default:
+		return s.State > e.State
+	}
+}
+
+func (t *Table) add(f model.Fingerprint) *Entry {
+	if t.entries == nil {
+		t.entries = map[model.Fingerprint]*Entry{}
+	}
+	t.makeRoom()
+	e := &Entry{}
+	t.entries[f] = e
+	return e
 }
 
 func (t *Table) makeRoom() {
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -153,8 +153,10 @@
 			s.Counters.Condemned++
 		}
 		s.Peers.Broadcast(event.Message{Suspects: &news})
-	case e.Kind == event.Answered && a.Alone && s.Suspects.Clear(now, a.Fingerprint):
-		s.Peers.Broadcast(event.Message{Suspects: &event.Suspicion{Fingerprint: a.Fingerprint, State: event.SuspicionCleared}})
+	case e.Kind == event.Answered && a.Alone:
+		if news, ok := s.Suspects.Clear(now, a.Fingerprint); ok {
+			s.Peers.Broadcast(event.Message{Suspects: &news})
+		}
 	}
 }
 
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -5,11 +5,14 @@
 // One instance owns each cold server, by rendezvous hashing over the live
 // instances. The owner keeps an allowance: it starts at one attempt in flight
 // and rises with success. Others send only under a grant, which counts against
-// the owner's allowance until it is returned or has expired. An instance that
-// becomes an owner waits ownerHold before it uses the allowance, so that what the
-// former owner sent has ended. Two instances with different views of who lives
-// may both own a server for as long as the views differ; the work in flight is
-// then at most the sum of their allowances, and both start at one.
+// the owner's allowance until it is returned or has expired.
+//
+// Two instances may own a server at the same time while their views of who lives
+// differ. That is harmless, since an owner uses its allowance only while a quorum
+// of the listed instances answered pings that it sent within QuorumLease: the
+// owner that was cut off, or stood still, stops before the other side has
+// confirmed its death, and a new owner waits ownerHold, so that what the former
+// one sent has ended. The design note warm-up.md works out the times.
 //
 // The states of servers are kept by package limit; which request goes to a cold
 // server is left to package query.
@@ -26,13 +29,16 @@
 )
 
 const (
-	// ownerHold is the wait of a new owner. It is longer than MaxAttempt, the
-	// longest that an attempt of the former owner can be in flight, less the
-	// time in which a silent owner is confirmed dead.
-	ownerHold = 2 * time.Second
+	// ownerHold is the wait of a new owner: as long as the former owner may go on
+	// sending, and as what it sent last can be in flight.
+	ownerHold = QuorumLease + MaxAttempt
+	// QuorumLease is how long the answer to a ping lets an owner use its allowance,
+	// counted from when the ping was sent. It is shorter than the silence after
+	// which an instance is confirmed dead.
+	QuorumLease = 1500 * time.Millisecond
 	// MaxAttempt is the longest that an attempt on a cold server is waited for.
-	MaxAttempt = 2 * time.Second
-	// grantUse is how long a grant may be used after it arrived.
+	MaxAttempt = time.Second
+	// grantUse is how long a grant may be used after it was asked for.
 	grantUse = 300 * time.Millisecond
 	// grantLife is how long the owner counts a grant that is not returned.
 	grantLife = grantUse + MaxAttempt + 500*time.Millisecond
@@ -64,6 +70,9 @@
 	Servers *limit.Table
 	// Peers carries the keeper's messages.
 	Peers Sender
+	// LeaseEnds returns when the contact with a quorum of the instances ends, if no
+	// further ping is answered.
+	LeaseEnds func() time.Time
 
 	members []model.InstanceID
 	grants  uint64
@@ -119,31 +128,13 @@
 
 // room reports whether the owner's allowance leaves room for one more attempt.
 func (k *Keeper) room(now time.Time, s *limit.Server) bool {
-	if now.Sub(s.OwnedSince) < ownerHold {
+	if now.Sub(s.OwnedSince) < ownerHold || !now.Before(k.LeaseEnds()) {
 		return false
 	}
 	s.Grants = slices.DeleteFunc(s.Grants, func(g limit.GivenGrant) bool { return !now.Before(g.ExpiresAt) })
 	return s.InFlight+len(s.Grants) < s.Allowance
 }
 
-// ReadyAt returns when MaySend may turn true without another event, or the zero
-// time.
-func (k *Keeper) ReadyAt(now time.Time, s *limit.Server) time.Time {
-	if s.State != limit.Cold || !s.Owned {
-		return time.Time{}
-	}
-	if at := s.OwnedSince.Add(ownerHold); at.After(now) {
-		return at
-	}
-	var first time.Time
-	for _, g := range s.Grants {
-		if first.IsZero() || g.ExpiresAt.Before(first) {
-			first = g.ExpiresAt
-		}
-	}
-	return first
-}
-
 // Use takes the grant that an attempt is sent under. It returns zero when this
 // instance owns the server.
 func (k *Keeper) Use(s *limit.Server) (grant limit.HeldGrant) {
@@ -165,7 +156,7 @@
 		return
 	}
 	s.WantedAt = now
-	k.Peers.Send(owner, event.Message{Want: &event.Want{Server: s.ID}})
+	k.Peers.Send(owner, event.Message{Want: &event.Want{Server: s.ID, AskedAt: now.UnixNano()}})
 }
 
 // Wanted queues another instance's request for leave.
@@ -181,35 +172,45 @@
 	if !s.Owned {
 		return
 	}
-	if !slices.Contains(s.Waiting, from) {
-		s.Waiting = append(s.Waiting, from)
-	}
+	k.queue(s, limit.WaitingWant{From: from, AskedAt: w.AskedAt, ArrivedAt: now})
 	k.Serve(now, s)
 }
 
+// queue adds a request for leave, or renews the one of the same instance.
+func (k *Keeper) queue(s *limit.Server, w limit.WaitingWant) {
+	i := slices.IndexFunc(s.Waiting, func(o limit.WaitingWant) bool { return o.From == w.From })
+	if i < 0 {
+		s.Waiting = append(s.Waiting, w)
+		return
+	}
+	s.Waiting[i] = w
+}
+
 // Serve gives leave to those that wait, as far as the allowance goes. An owner
 // that can't reach the server itself still gives leave to those that may.
 func (k *Keeper) Serve(now time.Time, s *limit.Server) {
 	if !s.Owned || s.State == limit.Warm || s.State == limit.Draining {
 		return
 	}
+	s.Waiting = slices.DeleteFunc(s.Waiting, func(w limit.WaitingWant) bool { return now.Sub(w.ArrivedAt) > grantUse })
 	for len(s.Waiting) > 0 && k.room(now, s) {
-		to := s.Waiting[0]
-		s.Unqueue(0)
+		w := s.Waiting[0]
+		s.Waiting = s.Waiting[1:]
 		k.grants++
-		s.Grants = append(s.Grants, limit.GivenGrant{Number: k.grants, To: to, ExpiresAt: now.Add(grantLife)})
-		k.Peers.Send(to, event.Message{Grant: &event.Grant{Server: s.ID, Number: k.grants}})
+		s.Grants = append(s.Grants, limit.GivenGrant{Number: k.grants, To: w.From, ExpiresAt: now.Add(grantLife)})
+		k.Peers.Send(w.From, event.Message{Grant: &event.Grant{Server: s.ID, Number: k.grants, AskedAt: w.AskedAt}})
 	}
 }
 
 // Granted takes in a leave from an owner.
 func (k *Keeper) Granted(now time.Time, from model.InstanceID, g event.Grant) {
 	s := k.Servers.Get(g.Server)
-	if s == nil || s.State != limit.Cold || s.Owned || s.Held != nil {
+	useBefore := time.Unix(0, g.AskedAt).Add(grantUse)
+	if s == nil || s.State != limit.Cold || s.Owned || s.Held != nil || !now.Before(useBefore) {
 		k.giveBack(from, event.Returned{Server: g.Server, Number: g.Number})
 		return
 	}
-	s.Held = &limit.HeldGrant{Number: g.Number, Owner: from, UseBefore: now.Add(grantUse)}
+	s.Held = &limit.HeldGrant{Number: g.Number, Owner: from, UseBefore: useBefore}
 }
 
 // GiveBackUnused returns a held grant that nothing waits for.
--- /dev/null
+++ b/core/warm/warm_test.go
@@ -0,0 +1,116 @@
+package warm_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/warm"
+)
+
+// sent collects the messages of a keeper.
+type sent struct {
+	to       []model.InstanceID
+	messages []event.Message
+}
+
+func (s *sent) Send(to model.InstanceID, m event.Message) {
+	s.to = append(s.to, to)
+	s.messages = append(s.messages, m)
+}
+
+// fixture is a keeper that owns one cold server, at a time when it may send.
+type fixture struct {
+	now    time.Time
+	lease  time.Time
+	keeper *warm.Keeper
+	server *limit.Server
+	sent   *sent
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), sent: &sent{}}
+	t := &limit.Table{}
+	t.Load(&model.Config{Services: []model.Service{{
+		Name: "desk", Slots: 2, Groups: []model.Group{{Name: "g0", Servers: []model.Server{{ID: "s0", Address: "127.0.0.1:1"}}}},
+	}}})
+	f.server = t.Get("s0")
+	f.server.Seen(event.ServerReport{Boot: "b1"})
+	f.lease = f.now.Add(time.Hour)
+	f.keeper = &warm.Keeper{Self: "i0", Servers: t, Peers: f.sent, LeaseEnds: func() time.Time { return f.lease }}
+	f.keeper.Members(f.now, []model.InstanceID{"i0"})
+	f.now = f.now.Add(warm.QuorumLease + warm.MaxAttempt)
+	return f
+}
+
+func TestOwnerMaySend(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fixture)
+		want   bool
+	}{
+		{name: "after the hold, with a lease", change: func(*fixture) {}, want: true},
+		{name: "during the hold", change: func(f *fixture) { f.now = f.now.Add(-time.Millisecond) }},
+		{name: "after the lease", change: func(f *fixture) { f.lease = f.now }},
+		{name: "with one in flight", change: func(f *fixture) { f.server.InFlight = 1 }},
+		{name: "with one granted", change: func(f *fixture) {
+			f.keeper.Wanted(f.now, "i1", event.Want{Server: "s0", AskedAt: f.now.UnixNano()})
+		}},
+		{name: "after a pause", change: func(f *fixture) { f.keeper.Paused(f.now) }},
+		{name: "after another instance took over", change: func(f *fixture) { f.keeper.Members(f.now, []model.InstanceID{"other"}) }},
+		{name: "right after it became the owner again", change: func(f *fixture) {
+			f.keeper.Members(f.now, []model.InstanceID{"other"})
+			f.keeper.Members(f.now, []model.InstanceID{"i0"})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture()
+			test.change(f)
+			if got := f.keeper.MaySend(f.now, f.server); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestGrantIsUsedInTimeOrNotAtAll(t *testing.T) {
+	f := newFixture()
+	f.keeper.Members(f.now, []model.InstanceID{"other"})
+	asked := f.now.UnixNano()
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  bool
+	}{
+		{name: "read at once", after: time.Millisecond, want: true},
+		{name: "read after this instance stood still", after: time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := f.now.Add(test.after)
+			f.keeper.Granted(now, "other", event.Grant{Server: "s0", Number: 1, AskedAt: asked})
+			if got := f.keeper.MaySend(now, f.server); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+			f.keeper.Use(f.server)
+		})
+	}
+}
+
+func TestGrantExpiresAtItsOwner(t *testing.T) {
+	f := newFixture()
+	want := event.Want{Server: "s0", AskedAt: f.now.UnixNano()}
+	f.keeper.Wanted(f.now, "i1", want)
+	f.keeper.Wanted(f.now, "i2", want)
+	if got := len(f.sent.messages); got != 1 {
+		t.Fatalf("grants: got %d, want 1", got)
+	}
+	later := f.now.Add(10 * time.Second)
+	f.lease = later.Add(time.Second)
+	if !f.keeper.MaySend(later, f.server) {
+		t.Errorf("a grant that is never returned blocks its owner for ever")
+	}
+}
--- a/io/back/back.go
+++ b/io/back/back.go
@@ -50,8 +50,9 @@
 }
 
 // New returns a client. connections is the most that it opens to one server,
-// status reads included.
-func New(clock Clock, dataCentre string, connections int) *Client {
+// status reads included. onLost is called with the address of a server that closes
+// a connection.
+func New(clock Clock, dataCentre string, connections int, onLost func(address string)) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		clock: clock, dataCentre: dataCentre, cancel: map[event.AttemptID]context.CancelFunc{},
@@ -61,7 +62,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &countingConn{Conn: c}, nil
+				return &countingConn{Conn: c, lost: func() { onLost(address) }}, nil
 			},
 			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -73,10 +74,29 @@
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // countingConn counts the bytes written, so that a failed attempt can tell
-// whether any of it left.
+// whether any of it left, and notices when the other side closes it.
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// closed is set once this side closed the connection.
+	closed atomic.Bool
+	lost   func()
+}
+
+// Read implements net.Conn. The transport always has a read waiting on a kept
+// connection, so that a close shows at once.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && !c.closed.Swap(true) {
+		c.lost()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn. Bytes count as written as soon as they are handed to
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -123,9 +123,6 @@
 	if p.Log == nil {
 		p.Log = &log.DefaultLogger
 	}
-	if p.Backend == nil {
-		p.Backend = back.New(p.Clock, s.DataCentre, s.Limits.Connections)
-	}
 	if p.Store == nil {
 		p.Store = store.New(s.Store)
 	}
@@ -158,6 +155,11 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peer.NewHub(n.self, n)
+	if n.backend == nil {
+		n.backend = back.New(p.Clock, s.DataCentre, s.Limits.Connections, func(address string) {
+			n.Post(event.ConnectionLost{Address: address})
+		})
+	}
 	n.engine = engine.New(now, n.self, engine.Options{
 		Query:     query.Options{Limits: s.Limits.Policy, Hedging: s.Hedging},
 		PerServer: s.Limits.Connections,
