Answer from the shard map before while servers take the new one

Cause: a query used the new map as soon as the configuration was in force; servers that had not taken it refused, and for half a second nothing answered. Ruled out: stale status alone (restarts did not help, there was no other map to restart on).

--- a/core/engine/config.go
+++ b/core/engine/config.go
@@ -8,7 +8,8 @@
 
 // holder keeps the configuration in force and collects the parts of the next.
 type holder struct {
-	inForce model.Config
+	// inForce is never changed once it is handed out; a new one takes its place.
+	inForce *model.Config
 	// root is that of inForce.
 	root conf.Root
 	// next is the newest root seen that is not in force yet; its Version is zero
@@ -81,12 +82,12 @@
 		h.next = conf.Root{}
 		return
 	}
-	h.inForce, h.root = c, h.next
+	h.inForce, h.root = &c, h.next
 	h.next = conf.Root{}
 	h.dropParts()
-	e.Servers.Load(&h.inForce)
+	e.Servers.Load(h.inForce)
 	e.Warm.Members(e.lastTick, e.live)
-	e.Queries.Configure(&h.inForce)
+	e.Queries.Configure(h.inForce)
 	e.Emit(event.ConfigInForce{Config: c})
 	e.Emit(event.StateChanged{Kind: "configuration", Name: c.Change, To: "in-force", Why: "accepted by the store"})
 	e.broadcastBut(h.from, event.Message{Root: &event.RootNews{Root: h.root}})
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -83,6 +83,7 @@
 		Claims: e.Claims, Out: e, Peers: e, Rand: rand.New(rand.NewPCG(o.Seed, uint64(self.Incarnation))),
 	}
 	e.Queries.Init()
+	e.config.inForce = &model.Config{}
 	e.config.parts = map[conf.Digest][]byte{}
 	e.viewChanged(now)
 	return e
@@ -271,7 +272,7 @@
 }
 
 // Config returns the configuration in force.
-func (e *Engine) Config() model.Config { return e.config.inForce }
+func (e *Engine) Config() model.Config { return *e.config.inForce }
 
 // StoreDown reports whether the store's last call went unanswered.
 func (e *Engine) StoreDown() bool { return e.storeDown }
--- a/core/engine/property_test.go
+++ b/core/engine/property_test.go
@@ -79,8 +79,11 @@
 	{"server spoils replies", func(w *world, pick func(int) int) { w.anyServer(pick).badReplies = 1 + pick(3) }},
 	{"data centre out and in", func(w *world, pick func(int) int) {
 		name := w.config.DataCentres[pick(3)].Name
-		w.setDataCentre(name, model.DataCentreOut)
-		w.after(time.Duration(1+pick(8))*time.Second, func() { w.setDataCentre(name, model.DataCentreIn) })
+		n := w.nodes[pick(len(w.nodes))]
+		w.operate(n, func() { w.setDataCentre(name, model.DataCentreOut) })
+		w.after(time.Duration(1+pick(8))*time.Second, func() {
+			w.operate(n, func() { w.setDataCentre(name, model.DataCentreIn) })
+		})
 	}},
 	{"data centre loses power", func(w *world, pick func(int) int) {
 		name := w.config.DataCentres[pick(3)].Name
@@ -91,7 +94,9 @@
 		})
 	}},
 	{"snapshot switch", func(w *world, pick func(int) int) { w.switchSnapshot(pick) }},
-	{"repartition", func(w *world, pick func(int) int) { w.repartition(pick) }},
+	{"repartition", func(w *world, pick func(int) int) {
+		w.operate(w.nodes[pick(len(w.nodes))], func() { w.repartition(pick) })
+	}},
 	{"poison query", func(w *world, pick func(int) int) {
 		body := fmt.Sprintf("poison-%d", w.order)
 		for i := range 2 * len(w.nodes) {
@@ -102,6 +107,17 @@
 	}},
 }
 
+// operate makes a change of the configuration as the operators' command does: the
+// store has to be up to accept it, and the command hands it to an instance.
+func (w *world) operate(n *node, change func()) {
+	if w.store.down {
+		w.after(200*time.Millisecond, func() { w.operate(n, change) })
+		return
+	}
+	change()
+	w.push(n)
+}
+
 func (w *world) liveNodes() (n int) {
 	for _, o := range w.nodes {
 		if !o.dead {
@@ -181,12 +197,17 @@
 }
 
 func TestPromisesUnderFaults(t *testing.T) {
-	for i := range *promiseSeeds {
-		seed := uint64(*firstSeed + i)
-		w := newPicker(seed)
-		if got := runFaults(seed, w); len(got.wrong) > 0 {
-			t.Fatalf("seed %d:\n%s", seed, got.report())
-		}
+	const shards = 8
+	for shard := range shards {
+		t.Run(fmt.Sprintf("shard-%d", shard), func(t *testing.T) {
+			t.Parallel()
+			for i := shard; i < *promiseSeeds; i += shards {
+				seed := uint64(*firstSeed + i)
+				if got := runFaults(seed, newPicker(seed)); len(got.wrong) > 0 {
+					t.Fatalf("seed %d:\n%s", seed, got.report())
+				}
+			}
+		})
 	}
 }
 
--- a/core/engine/servers_test.go
+++ b/core/engine/servers_test.go
@@ -36,7 +36,10 @@
 	// overloads counts the crashes for more work than a cold server bears.
 	overloads int
 	coldPeak  int
-	lastTaken time.Time
+	// silentDrain is a leave that only the platform's list shows.
+	silentDrain bool
+	// lastArrived is when the last attempt arrived, taken or not.
+	lastArrived time.Time
 	// poisoned counts the deaths by each poison query.
 	poisoned map[string]int
 	rebootIn time.Duration
@@ -85,6 +88,7 @@
 	if n.dead {
 		return
 	}
+	s.lastArrived = s.w.now
 	refuse := func(reason event.RefusalReason) {
 		s.w.after(hop, func() {
 			n.end(c, event.AttemptEnded{Kind: event.Refused, Reason: reason, Report: s.report()})
@@ -114,7 +118,6 @@
 	if s.warmth < warmRuns {
 		s.coldPeak = max(s.coldPeak, len(s.inFlight)+1)
 	}
-	s.lastTaken = s.w.now
 	run := &fakeRun{n: n, c: c}
 	s.inFlight[c.Attempt] = run
 	s.w.started[queryName(c.Attempt)] = true
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -83,6 +83,10 @@
 	outSince map[string]time.Time
 	// faults lists what was done, for the report of a failure.
 	faults []string
+	// leaving holds the servers that the platform lists as leaving.
+	leaving []model.ServerID
+	// onCommand, when set, sees every command.
+	onCommand func(*node, event.Command)
 	// splitAt parts the first nodes from the others; zero is no split.
 	splitAt int
 	wrong   []string
@@ -215,6 +219,7 @@
 	// tickAt is when the next tick is due; wake invalidates older wake-ups.
 	wake     int
 	want     []model.Instance
+	seeds    []model.Instance
 	links    map[model.InstanceID]*link
 	queries  map[event.QueryID]*ask
 	nextID   event.QueryID
@@ -237,6 +242,12 @@
 	}
 	n.self = model.Instance{ID: n.id, Incarnation: model.Incarnation(w.now.UnixNano()), Address: id, DataCentre: w.config.DataCentres[0].Name}
 	n.engine = engine.New(w.now, n.self, engine.Options{Query: w.options, PerServer: 6, Seed: w.random.Uint64()})
+	// The settings of an instance name some others, to start from without the store.
+	for _, o := range w.nodes {
+		if !o.dead {
+			n.seeds = append(n.seeds, o.self)
+		}
+	}
 	w.nodes = append(w.nodes, n)
 	w.after(0, func() { n.tick() })
 	w.after(0, func() { n.followStore() })
@@ -328,7 +339,7 @@
 			}
 			n.post(event.RootSeen{Root: root})
 		}
-		n.post(event.PlatformListed{Instances: n.w.listed()})
+		n.post(event.PlatformListed{Instances: n.w.listed(), Servers: n.w.listedServers()})
 	})
 	n.w.after(200*time.Millisecond, func() { n.followStore() })
 }
@@ -347,12 +358,19 @@
 	return out
 }
 
+func (w *world) listedServers() (out []event.ListedServer) {
+	for _, id := range w.leaving {
+		out = append(out, event.ListedServer{ID: id, State: event.ListedLeaving})
+	}
+	return out
+}
+
 // keepLinks opens the links that the engine wants and drops those that are cut.
 func (n *node) keepLinks() {
 	if n.dead {
 		return
 	}
-	for _, p := range n.want {
+	for _, p := range append(slices.Clone(n.want), n.seeds...) {
 		other := n.w.node(p.ID)
 		if other != nil && n.running() && other.running() && n.links[p.ID] == nil && !n.cutPeers && !other.cutPeers && !n.w.parted(n, other) {
 			n.link(other)
@@ -424,6 +442,9 @@
 
 func (n *node) carryOut(c event.Command) {
 	w := n.w
+	if w.onCommand != nil {
+		w.onCommand(n, c)
+	}
 	switch c := c.(type) {
 	case event.SendAttempt:
 		n.attempts[c.Attempt] = c.Server
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -76,12 +76,11 @@
 		return nil, refuse(event.RefuseDeadline, 0, "deadline %s is too short: want %s or more", timeout, minTimeout)
 	}
 	q := &Query{
-		ID: id, Request: r, Service: svc, Class: class, ArrivedAt: now,
+		ID: id, Request: r, Class: class, ArrivedAt: now,
 		Fingerprint: model.FingerprintOf(r.Service, r.Body),
 		AnswerBy:    now.Add(timeout - answerMargin),
-		Epoch:       svc.Epoch,
-		Legs:        legsOf(svc, r.Key),
 	}
+	q.follow(s.choosePlan(svc, r.Key))
 	if e := s.Suspects.Get(now, q.Fingerprint); e != nil && e.State == event.SuspicionCondemned {
 		return nil, refuse(event.RefusePoison, 0, "query %s crashed the servers that ran it", q.Fingerprint)
 	}
@@ -151,9 +150,8 @@
 	return time.Duration(float64(latency) * (1 + float64(ahead)/capacity)), exists
 }
 
-// start fixes the snapshot of a query and queues its legs.
+// start sends or queues the legs of a query's plan.
 func (s *System) start(now time.Time, q *Query) {
-	q.Snapshot = s.newestSnapshot(q.Service, q.Legs)
 	q.Open = len(q.Legs)
 	s.Counters.LegsStarted += uint64(len(q.Legs))
 	round := q.Round
@@ -202,6 +200,8 @@
 	case claim.Granted:
 		entry := d.Entry
 		q.Claim = &entry
+		// The claim took a while: what the servers serve may have changed.
+		q.follow(s.choosePlan(q.Service, q.Request.Key))
 		s.start(now, q)
 	case claim.Taken:
 		s.answerTaken(q, d.Entry)
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -133,19 +133,72 @@
 	if svc == nil {
 		return false
 	}
-	legs := legsOf(svc, q.Request.Key)
-	snapshot := s.newestSnapshot(svc, legs)
-	if svc.Epoch == q.Service.Epoch && snapshot <= q.Snapshot {
+	p := s.choosePlan(svc, q.Request.Key)
+	if p.snapshot == 0 || (p.service.Epoch == q.Epoch && p.snapshot == q.Snapshot) {
 		return false
 	}
 	s.cancelAttempts(q)
 	s.Counters.QueriesRestarted++
 	q.Round++
-	q.Service, q.Epoch, q.Snapshot, q.Legs = svc, svc.Epoch, snapshot, legs
+	q.follow(p)
 	s.start(now, q)
 	return true
 }
 
+// plan is a shard map and a snapshot to answer a query from.
+type plan struct {
+	service  *model.Service
+	legs     []Leg
+	snapshot model.Snapshot
+	// covered counts the positions for which a usable server serves both.
+	covered uint32
+	asked   uint32
+}
+
+// follow makes a query use a plan.
+func (q *Query) follow(p plan) {
+	q.Service, q.Epoch, q.Snapshot, q.Legs = p.service, p.service.Epoch, p.snapshot, p.legs
+}
+
+// choosePlan returns the plan for a request: on the shard map in force, unless that
+// covers less than the one before, which servers may still serve.
+func (s *System) choosePlan(svc *model.Service, key string) plan {
+	p := s.planOn(svc, key)
+	old := s.previous[svc.Name]
+	if old == nil || p.covered == p.asked {
+		return p
+	}
+	if before := s.planOn(old, key); before.covered > p.covered {
+		return before
+	}
+	return p
+}
+
+// planOn returns the plan for a request on a shard map.
+func (s *System) planOn(svc *model.Service, key string) plan {
+	p := plan{service: svc, legs: legsOf(svc, key)}
+	p.snapshot = s.newestSnapshot(svc, p.legs)
+	for i := range p.legs {
+		size := p.legs[i].Group.Keys.Size()
+		p.asked += size
+		if s.served(svc, p.legs[i].Group.Name, p.snapshot) {
+			p.covered += size
+		}
+	}
+	return p
+}
+
+// served reports whether a usable server of a group serves a snapshot of a shard
+// map.
+func (s *System) served(svc *model.Service, group string, v model.Snapshot) bool {
+	for _, b := range s.Servers.Group(svc.Name, group) {
+		if v != 0 && s.usable(b) && b.Serves(v, svc.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
 // legsOf returns the waiting legs of a request: the group that holds the key, or
 // all groups.
 func legsOf(svc *model.Service, key string) []Leg {
--- a/core/query/system.go
+++ b/core/query/system.go
@@ -44,6 +44,9 @@
 	Counters Counters
 
 	config *model.Config
+	// previous holds, for a service whose shard map was replaced, the service with
+	// the map before: servers take a new map at different times.
+	previous map[string]*model.Service
 	// out holds the data centres that take no work.
 	out       map[string]bool
 	instances int
@@ -74,6 +77,7 @@
 // Configure takes a configuration into force: from now on no attempt is sent to
 // a data centre that is out or a server that is gone from it.
 func (s *System) Configure(c *model.Config) {
+	s.keepPrevious(c)
 	s.config = c
 	s.out = map[string]bool{}
 	for _, d := range c.DataCentres {
@@ -84,6 +88,23 @@
 	}
 }
 
+// keepPrevious remembers the shard maps that a configuration replaces. A service
+// that is gone is not kept.
+func (s *System) keepPrevious(next *model.Config) {
+	previous := map[string]*model.Service{}
+	for i := range next.Services {
+		name := next.Services[i].Name
+		switch old := s.config.Service(name); {
+		case old == nil:
+		case old.Epoch != next.Services[i].Epoch:
+			previous[name] = old
+		case s.previous[name] != nil:
+			previous[name] = s.previous[name]
+		}
+	}
+	s.previous = previous
+}
+
 // Instances sets the number of live instances, which the limits are shared by.
 func (s *System) Instances(n int) { s.instances = n }
 
