Give the replicas of a cold group different owners; test the path as processes

Cause: with owners drawn for each server by itself, one instance owned all three replicas of a cold group (dispatch-desk g05 in the sample); its kill left the group without an owner that may send for 6.5 s (red: TestPathSurvivesKilledInstanceAndServers, missing g05 cold). Owners within a group now differ, and a lost link is noticed after 0.5 s in place of 2 s of silence. Ruled out: a late grant, a lost request for leave.

Processes: kill, SIGSTOP, cut connections: bookings run once, outcomes are true; SIGTERM of two of four instances under load cuts no request.

--- /dev/null
+++ b/cmd/hyssoppitch/process_test.go
@@ -0,0 +1,520 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/conf"
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/decl/sample"
+	"hyssoppitch/internal/standin/fleet"
+	"hyssoppitch/internal/standin/load"
+	"hyssoppitch/io/front"
+	"hyssoppitch/io/setup"
+	"hyssoppitch/io/store"
+)
+
+// These tests run the real programs as processes of their own, and kill, stop and
+// resume them by process number.
+
+var programs struct {
+	hyssoppitch string
+	standin     string
+}
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "hyssoppitch-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	programs.hyssoppitch = filepath.Join(dir, "hyssoppitch")
+	programs.standin = filepath.Join(dir, "standin")
+	for pkg, path := range map[string]string{"hyssoppitch/cmd/hyssoppitch": programs.hyssoppitch, "hyssoppitch/cmd/standin": programs.standin} {
+		if out, err := exec.Command("go", "build", "-o", path, pkg).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+// patience bounds every wait of these tests; it only ends a test that hangs.
+const patience = 60 * time.Second
+
+// process is a running program.
+type process struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+	// line is the first line that it printed.
+	line string
+}
+
+// start starts a program and waits for its first line.
+func start(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(program, args...), log: &bytes.Buffer{}}
+	p.cmd.Stderr = p.log
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	reader := bufio.NewReader(out)
+	p.line, err = reader.ReadString('\n')
+	if err != nil {
+		t.Fatalf("%s printed nothing: %v", program, err)
+	}
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	return p
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// command runs a command of hyssoppitch and returns its output and exit code.
+func command(t *testing.T, args ...string) (out string, code int) {
+	t.Helper()
+	data, err := exec.Command(programs.hyssoppitch, args...).CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); ok { //nolint:errorlint // Run returns it unwrapped.
+		return string(data), exit.ExitCode()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data), 0
+}
+
+// deployment is the whole path as processes.
+type deployment struct {
+	dir       string
+	store     string
+	fleet     string
+	config    model.Config
+	instances []*instance
+	client    *http.Client
+}
+
+type instance struct {
+	*process
+	listen  string
+	control string
+}
+
+// freePort returns a port below those of outgoing connections, so that none of
+// these takes it.
+var nextPort = struct {
+	sync.Mutex
+	port int
+}{port: 10000 + os.Getpid()%8000}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	nextPort.Lock()
+	defer nextPort.Unlock()
+	for {
+		nextPort.port++
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort.port))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+}
+
+// deploy starts a store, the trust's fleet and four instances in three data centres,
+// and applies the configuration by the operators' command.
+func deploy(t *testing.T, change func(*setup.Settings)) *deployment {
+	t.Helper()
+	declared, err := sample.Trust(sample.Layout{IP: "127.0.0.1", BasePort: 1}).Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{
+		dir: t.TempDir(), store: freeAddress(t), fleet: freeAddress(t),
+		config: fleet.Retarget(declared), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	t.Cleanup(d.client.CloseIdleConnections)
+	data, err := conf.Print(d.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.write(t, "config.json", data)
+	var listed store.Processes
+	addresses := make([][2]string, 4)
+	for i := range addresses {
+		addresses[i] = [2]string{freeAddress(t), freeAddress(t)}
+		listed.Instances = append(listed.Instances, event.ListedInstance{
+			ID: model.InstanceID(fmt.Sprintf("i%d", i)), Address: addresses[i][1], DataCentre: d.config.DataCentres[i%3].Name, State: event.ListedLive,
+		})
+	}
+	list, err := json.Marshal(listed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.write(t, "processes.json", list)
+	start(t, programs.standin, "store", "--listen", d.store, "--processes", d.path("processes.json"))
+	start(t, programs.standin, "fleet", "--config", d.path("config.json"), "--control", d.fleet, "--one-way", "2ms")
+	for i := range addresses {
+		d.startInstance(t, i, addresses[i], change)
+	}
+	if out, code := command(t, "config", "apply", "--store", d.store, "--from", "0", d.path("config.json")); code != 0 {
+		t.Fatalf("config apply: exit code %d: %s", code, out)
+	}
+	d.awaitComplete(t)
+	return d
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
+
+func (d *deployment) write(t *testing.T, name string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(d.path(name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (d *deployment) startInstance(t *testing.T, i int, addresses [2]string, change func(*setup.Settings)) {
+	t.Helper()
+	s := setup.Default()
+	s.Instance = model.InstanceID(fmt.Sprintf("i%d", i))
+	s.DataCentre = d.config.DataCentres[i%3].Name
+	s.Listen, s.Control, s.Store = addresses[0], addresses[1], d.store
+	if change != nil {
+		change(&s)
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := string(s.Instance) + ".json"
+	d.write(t, name, data)
+	p := start(t, programs.hyssoppitch, "serve", "--settings", d.path(name))
+	d.instances = append(d.instances, &instance{process: p, listen: s.Listen, control: s.Control})
+}
+
+const service = "dispatch-desk"
+
+// ask sends one request to an instance.
+func (d *deployment) ask(in *instance, q front.Query, key string) (load.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return load.Ask(ctx, d.client, in.listen, service, q, key, 0)
+}
+
+func search() front.Query { return front.Query{Query: json.RawMessage(`{"rider":"Tane"}`)} }
+
+func booking() front.Query {
+	return front.Query{Class: "booking", Key: "van-7", Query: json.RawMessage(`{"seat":"wheelchair"}`)}
+}
+
+// awaitComplete asks every instance until its answer is complete.
+func (d *deployment) awaitComplete(t *testing.T) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for _, in := range d.instances {
+		for {
+			reply, err := d.ask(in, search(), "")
+			if err == nil && reply.Answer != nil && reply.Answer.Status == event.StatusComplete {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: no complete answer: %+v %v\n%s", in.listen, reply, err, in.log)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// order tells the fleet something.
+func (d *deployment) order(t *testing.T, o fleet.Order) {
+	t.Helper()
+	data, err := json.Marshal(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := http.Post("http://"+d.fleet+fleet.PathOrder, "application/json", bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	var n int
+	if err := json.NewDecoder(reply.Body).Decode(&n); err != nil || n == 0 {
+		t.Fatalf("order %+v: %d servers, %v", o, n, err)
+	}
+}
+
+// runs returns how often the fleet ran a non-idempotent request.
+func (d *deployment) runs(t *testing.T, key string) (n int) {
+	t.Helper()
+	reply, err := http.Get("http://" + d.fleet + fleet.PathLedger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	var ledger []fleet.Run
+	if err := json.NewDecoder(reply.Body).Decode(&ledger); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range ledger {
+		if r.Once == key {
+			n++
+		}
+	}
+	return n
+}
+
+func TestPathSurvivesKilledInstanceAndServers(t *testing.T) {
+	d := deploy(t, nil)
+	d.order(t, fleet.Order{Servers: service + ".g04.*", Action: "stop"})
+	d.order(t, fleet.Order{Servers: service + ".g02.s0", Action: "stop"})
+	d.instances[1].signal(t, syscall.SIGKILL)
+	reply, err := d.ask(d.instances[0], search(), "")
+	if err != nil || reply.Answer == nil {
+		t.Fatalf("got %+v %v, want an answer", reply.Problem, err)
+	}
+	c := reply.Answer.Coverage
+	if len(c.Missing) != 1 || c.Missing[0].Group != "g04" || len(reply.Answer.Results) != 9 {
+		out, _ := command(t, "status", "--store", d.store, "--servers")
+		t.Errorf("missing: got %+v with %d results, want g04 and 9 results; %s", c.Missing, len(reply.Answer.Results), out)
+	}
+}
+
+func TestBookingRunsOnceThroughKillsAndStops(t *testing.T) {
+	d := deploy(t, nil)
+	t.Run("instance killed while a server runs it", func(t *testing.T) {
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{StraggleMs: 700}})
+		go func() { _, _ = d.ask(d.instances[3], booking(), "seat-1") }()
+		d.awaitRun(t, "seat-1")
+		d.instances[3].signal(t, syscall.SIGKILL)
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{}})
+		d.resendEverywhere(t, "seat-1", event.OutcomeUnknown)
+	})
+	t.Run("instance stopped while a server runs it", func(t *testing.T) {
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{StraggleMs: 700}})
+		done := make(chan struct{})
+		go func() { _, _ = d.ask(d.instances[2], booking(), "seat-2"); close(done) }()
+		d.awaitRun(t, "seat-2")
+		d.instances[2].signal(t, syscall.SIGSTOP)
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{}})
+		d.resendEverywhere(t, "seat-2", event.OutcomeUnknown)
+		d.instances[2].signal(t, syscall.SIGCONT)
+		<-done
+		if got := d.runs(t, "seat-2"); got != 1 {
+			t.Errorf("runs after it resumed: got %d, want 1", got)
+		}
+	})
+	t.Run("connection cut after the run", func(t *testing.T) {
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{Cut: fleet.CutAfter}})
+		reply, err := d.ask(d.instances[0], booking(), "seat-3")
+		if err != nil || reply.Problem == nil || reply.Problem.Outcome != event.OutcomeUnknown {
+			t.Errorf("got %+v %v, want outcome %s", reply, err, event.OutcomeUnknown)
+		}
+		d.order(t, fleet.Order{Servers: service + ".*", Faults: &fleet.Faults{}})
+		d.resendEverywhere(t, "seat-3", event.OutcomeUnknown)
+	})
+}
+
+// awaitRun waits until the ledger has a run.
+func (d *deployment) awaitRun(t *testing.T, key string) {
+	t.Helper()
+	for end := time.Now().Add(patience); d.runs(t, key) == 0; {
+		if time.Now().After(end) {
+			t.Fatalf("%s never ran", key)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// resendEverywhere sends a booking again through the first two instances and checks
+// what they say and that it ran once.
+func (d *deployment) resendEverywhere(t *testing.T, key string, want event.Outcome) {
+	t.Helper()
+	for _, in := range d.instances[:2] {
+		reply, err := d.ask(in, booking(), key)
+		if err != nil || reply.Problem == nil || reply.Problem.Outcome != want {
+			t.Errorf("resent through %s: got %+v %+v %v, want outcome %s", in.listen, reply.Answer, reply.Problem, err, want)
+		}
+	}
+	if got := d.runs(t, key); got != 1 {
+		t.Errorf("runs of %s: got %d, want 1", key, got)
+	}
+}
+
+// TestShutdownCutsNoRequest sends SIGTERM to two instances, one after the other,
+// under load with slow requests; callers go on sending to an instance for a while
+// after its readiness failed, as behind a balancer that lags.
+func TestShutdownCutsNoRequest(t *testing.T) {
+	d := deploy(t, func(s *setup.Settings) { s.Shutdown.Lag = model.Duration(1500 * time.Millisecond) })
+	d.order(t, fleet.Order{Servers: service + ".*.s1", Faults: &fleet.Faults{StraggleMs: 120}})
+	b := &balancer{d: d, out: make([]bool, len(d.instances))}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for c := range 8 {
+		callers.Go(func() { b.call(stop, c) })
+	}
+	for i := range 2 {
+		time.Sleep(300 * time.Millisecond)
+		d.instances[i].signal(t, syscall.SIGTERM)
+		go b.notice(i)
+		if err := d.instances[i].cmd.Wait(); err != nil {
+			t.Errorf("instance %d: %v\n%s", i, err, d.instances[i].log)
+		}
+	}
+	close(stop)
+	callers.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.Logf("%d searches and %d bookings", b.searches, b.bookings)
+	if len(b.broken) > 0 || b.searches < 50 || b.bookings < 10 {
+		t.Errorf("%d requests were cut, of %d searches and %d bookings: %v", len(b.broken), b.searches, b.bookings, b.broken)
+	}
+	for _, key := range b.keys {
+		if got := d.runs(t, key); got > 1 {
+			t.Errorf("runs of %s: got %d", key, got)
+		}
+	}
+}
+
+// balancer spreads requests over the instances that it takes for ready.
+type balancer struct {
+	d  *deployment
+	mu sync.Mutex
+	// out marks the instances that get no more requests.
+	out      []bool
+	turn     int
+	searches int
+	bookings int
+	keys     []string
+	broken   []string
+}
+
+// balancerLag is how late the balancer acts on a failed readiness.
+const balancerLag = 500 * time.Millisecond
+
+// notice takes an instance out, some time after its readiness failed.
+func (b *balancer) notice(i int) {
+	for {
+		reply, err := http.Get("http://" + b.d.instances[i].listen + front.PathReady)
+		if err == nil {
+			_ = reply.Body.Close()
+		}
+		if err != nil || reply.StatusCode != http.StatusOK {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(balancerLag)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.out[i] = true
+}
+
+// next returns the next instance in turn.
+func (b *balancer) next() *instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		b.turn++
+		if i := b.turn % len(b.out); !b.out[i] {
+			return b.d.instances[i]
+		}
+	}
+}
+
+func (b *balancer) call(stop chan struct{}, caller int) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		q, key := search(), ""
+		if n%4 == 0 {
+			q, key = booking(), fmt.Sprintf("booking-%d-%d", caller, n)
+		}
+		in := b.next()
+		reply, err := b.d.ask(in, q, key)
+		b.count(in, key, reply, err)
+	}
+}
+
+func (b *balancer) count(in *instance, key string, reply load.Reply, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if key == "" {
+		b.searches++
+	} else {
+		b.bookings++
+		b.keys = append(b.keys, key)
+	}
+	if err != nil {
+		b.broken = append(b.broken, fmt.Sprintf("%s: %v", in.listen, err))
+	}
+	if reply.Problem != nil && reply.Problem.Title == event.RefuseLeaving {
+		b.broken = append(b.broken, in.listen+": "+reply.Problem.Detail)
+	}
+}
+
+func TestOperatorsCommands(t *testing.T) {
+	d := deploy(t, nil)
+	config := d.path("config.json")
+	steps := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"an old file is applied again", []string{"config", "apply", "--store", d.store, "--from", "0", config}, 3, "another version"},
+		{"a data centre is taken out", []string{"data-centre", "out", "--store", d.store, "bay"}, 0, "accepted version 2"},
+		{"the same file no longer fits", []string{"config", "apply", "--store", d.store, "--from", "1", config}, 3, `"state": "out"`},
+		{"diff shows the data centre", []string{"config", "diff", "--store", d.store, config}, 0, `-       "state": "out"`},
+		{"an unknown data centre", []string{"data-centre", "out", "--store", d.store, "nowhere"}, 2, "nowhere"},
+		{"it is brought back", []string{"data-centre", "in", "--store", d.store, "bay"}, 0, "version 3 in force"},
+		{"show", []string{"config", "show", "--store", d.store}, 0, `"version": 3`},
+		{"status", []string{"status", "--store", d.store}, 0, "version 3 in force"},
+		{"status for scripts", []string{"status", "--json", "--instance", d.instances[0].control}, 0, `"servers-by-state"`},
+		{"query", []string{"query", "--instance", d.instances[0].listen, service, `{"a":1}`}, 0, "10 of 10 groups"},
+		{"query that is refused", []string{"query", "--instance", d.instances[0].listen, "nothing"}, 7, "unknown-service"},
+		{"query that is no JSON", []string{"query", "--instance", d.instances[0].listen, service, "{"}, 2, "want JSON"},
+		{"unknown flag", []string{"status", "--nothing"}, 2, "nothing"},
+		{"no settings file", []string{"serve", "--settings", d.path("none.json")}, 2, "none.json"},
+	}
+	for _, s := range steps {
+		out, code := command(t, s.args...)
+		if code != s.code || !strings.Contains(out, s.want) {
+			t.Errorf("%s: got exit code %d and %s, want %d and %q", s.name, code, out, s.code, s.want)
+		}
+	}
+}
--- a/core/engine/cold_test.go
+++ b/core/engine/cold_test.go
@@ -203,7 +203,8 @@
 		w := newWorld(seed, testConfig(2), 4)
 		w.warmUp(t)
 		s := w.servers["s0-0"]
-		s.sturdy, s.warmth = true, 0
+		// It takes long to warm up, so that it can't before it is noticed.
+		s.sturdy, s.warmth = true, -100
 		w.load(5 * time.Second)
 		generations := 0
 		for _, n := range w.nodes {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -182,7 +182,7 @@
 	case event.PeerLinked:
 		e.peerLinked(now, v.Peer)
 	case event.PeerLost:
-		e.Members.Unlink(v.Peer)
+		e.Members.Unlink(now, v.Peer)
 	case event.PeerReceived:
 		e.peerReceived(now, v.From, v.Message)
 	case event.RootSeen:
--- a/core/engine/servers_test.go
+++ b/core/engine/servers_test.go
@@ -80,7 +80,7 @@
 	if s.warmth >= warmRuns {
 		return 3 * s.slots
 	}
-	return 1 + s.warmth*s.slots/warmRuns
+	return max(1, 1+s.warmth*s.slots/warmRuns)
 }
 
 // take handles an attempt that arrives.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -25,10 +25,14 @@
 	// PingInterval is the time between two pings of a link. Two of them fit into
 	// the quorum lease of package warm, so that one lost answer does no harm.
 	PingInterval = 500 * time.Millisecond
-	// silentAfter is the silence after which a peer is suspected.
-	silentAfter = 2 * time.Second
-	// deadAfter is how long a suspect has to refute.
-	deadAfter = 2 * time.Second
+	// silentAfter is the silence after which a linked peer is suspected, and
+	// unlinkedAfter the time without a link.
+	silentAfter   = 2 * time.Second
+	unlinkedAfter = 500 * time.Millisecond
+	// deadAfter is how long a suspect has to refute. An instance that was cut off
+	// or stands still is confirmed dead after unlinkedAfter and deadAfter at the
+	// soonest: not before the quorum lease of package warm has ended.
+	deadAfter = 1500 * time.Millisecond
 	// forgetAfter is how long a dead instance is remembered, so that old news of
 	// it is not taken for new.
 	forgetAfter = 10 * time.Minute
@@ -48,6 +52,8 @@
 	// Linked is set while a link is up; HeardAt is when it last carried anything.
 	Linked  bool
 	HeardAt time.Time
+	// UnlinkedAt is when the last link ended.
+	UnlinkedAt time.Time
 	// ContactAt is when the last ping that was answered had been sent.
 	ContactAt time.Time
 	// Version is the configuration in force there, as last heard.
@@ -128,9 +134,9 @@
 }
 
 // Unlink records the end of a link.
-func (v *View) Unlink(id model.InstanceID) {
+func (v *View) Unlink(now time.Time, id model.InstanceID) {
 	if m := v.Get(id); m != nil {
-		m.Linked = false
+		m.Linked, m.UnlinkedAt = false, now
 	}
 }
 
@@ -268,7 +274,7 @@
 			continue
 		}
 		switch {
-		case m.State == event.MemberAlive && v.neighbour(m.ID) && now.Sub(v.lastSign(m)) > silentAfter:
+		case m.State == event.MemberAlive && v.neighbour(m.ID) && v.silent(now, m):
 			m.State, m.Since = event.MemberSuspect, now
 		case m.State == event.MemberSuspect && now.Sub(m.Since) > deadAfter:
 			m.State, m.Since = event.MemberDead, now
@@ -283,12 +289,17 @@
 	return fresh
 }
 
-// lastSign returns when the member was last heard or taken for alive.
-func (v *View) lastSign(m *Member) time.Time {
-	if m.HeardAt.After(m.Since) {
-		return m.HeardAt
+// silent reports whether a neighbour has given no sign for too long since it was
+// last taken for alive.
+func (v *View) silent(now time.Time, m *Member) bool {
+	if !m.Linked && m.UnlinkedAt.After(m.Since) {
+		return now.Sub(m.UnlinkedAt) > unlinkedAfter
 	}
-	return m.Since
+	last := m.HeardAt
+	if m.Since.After(last) {
+		last = m.Since
+	}
+	return now.Sub(last) > silentAfter
 }
 
 // neighbour reports whether this instance is to keep a link to another, and so is
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -97,9 +97,22 @@
 	}
 }
 
-// Owner returns the instance that owns a server while it is cold.
-func (k *Keeper) Owner(s *limit.Server) model.InstanceID {
-	return route.Holder("warm/"+string(s.ID), k.members)
+// Owner returns the instance that owns a server while it is cold. The replicas of
+// a group have different owners as far as there are instances: the loss of one
+// instance never leaves a cold group without an owner that may send.
+func (k *Keeper) Owner(s *limit.Server) (owner model.InstanceID) {
+	free := slices.Clone(k.members)
+	for _, b := range k.Servers.Group(s.Service, s.Group) {
+		if len(free) == 0 {
+			free = slices.Clone(k.members)
+		}
+		owner = route.Holder("warm/"+string(b.ID), free)
+		if b == s {
+			return owner
+		}
+		free = slices.DeleteFunc(free, func(id model.InstanceID) bool { return id == owner })
+	}
+	return owner
 }
 
 func (k *Keeper) reown(now time.Time, s *limit.Server) {
@@ -148,7 +161,8 @@
 
 // Ask asks the owner of a cold server for leave to send one attempt.
 func (k *Keeper) Ask(now time.Time, s *limit.Server) {
-	if s.State != limit.Cold || s.Owned || s.Held != nil || now.Sub(s.WantedAt) < wantInterval {
+	holds := s.Held != nil && now.Before(s.Held.UseBefore)
+	if s.State != limit.Cold || s.Owned || holds || now.Sub(s.WantedAt) < wantInterval {
 		return
 	}
 	owner := k.Owner(s)
--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -36,7 +36,11 @@
 // Run implements the command.
 func (c *QueryCmd) Run(s *streams) error {
 	reply, body, err := c.send()
-	if err != nil {
+	var own exitError
+	switch {
+	case errors.As(err, &own):
+		return err
+	case err != nil:
 		// The request may have been read before the connection failed.
 		return exitError{code: ExitUnknown, err: err}
 	}
