--- a/internal/standin/demo/world.go
+++ b/internal/standin/demo/world.go
@@ -13,7 +13,9 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/phuslu/log"
 
+	"hyssoppitch/core/engine"
 	"hyssoppitch/core/event"
+	"hyssoppitch/core/limit"
 	"hyssoppitch/core/model"
 	"hyssoppitch/internal/standin/fleet"
 	"hyssoppitch/internal/standin/kvmem"
@@ -197,3 +199,40 @@
 	}
 	w.Store.Close()
 }
+
+// SetDataCentre takes a data centre out or in, as the operators' command does.
+func (w *World) SetDataCentre(ctx context.Context, name string, s model.DataCentreState) (err error) {
+	defer func() { err = errors.Wrapf(err, "data centre %q", name) }()
+	c := store.New(w.Store.Address())
+	defer c.Close()
+	current, err := admin.Read(ctx, c)
+	if err != nil {
+		return err
+	}
+	config := current.Config
+	for i := range config.DataCentres {
+		if config.DataCentres[i].Name == name {
+			config.DataCentres[i].State = s
+		}
+	}
+	accepted, err := admin.Apply(ctx, c, config, config.Version, ulid.Make().String())
+	if err != nil {
+		return err
+	}
+	admin.Push(ctx, w.Controls(), accepted)
+	return nil
+}
+
+// ColdServers returns the number of servers that some instance doesn't see as warm.
+func (w *World) ColdServers() (n int) {
+	for _, in := range w.Instances {
+		in.Node.View(func(e *engine.Engine) {
+			for _, b := range e.Servers.Rows {
+				if b.State != limit.Warm {
+					n++
+				}
+			}
+		})
+	}
+	return n
+}
--- a/internal/standin/tools/tools.go
+++ b/internal/standin/tools/tools.go
@@ -18,11 +18,13 @@
 	"github.com/cockroachdb/errors"
 
 	"hyssoppitch/core/conf"
+	"hyssoppitch/core/limit"
 	"hyssoppitch/core/model"
 	"hyssoppitch/internal/standin/demo"
 	"hyssoppitch/internal/standin/fleet"
 	"hyssoppitch/internal/standin/kvmem"
 	"hyssoppitch/internal/standin/load"
+	"hyssoppitch/internal/standin/trial"
 )
 
 // CLI is the whole command line.
@@ -31,6 +33,7 @@
 	Fleet FleetCmd `cmd:"" help:"Run every backend server of a configuration; POST faults to the control address."`
 	Load  LoadCmd  `cmd:"" help:"Send requests at a steady rate and print what came back."`
 	Demo  DemoCmd  `cmd:"" help:"Run the whole path in this process, break it, and print the answers."`
+	Trial TrialCmd `cmd:"" help:"Run the whole path in this process under load and a fault, and print what was measured."`
 }
 
 // Main runs one command and returns its exit code.
@@ -142,6 +145,23 @@
 	return e.Encode(report)
 }
 
+// TrialCmd measures.
+type TrialCmd struct {
+	Scenario  []string      `help:"Scenarios; all when none is named." enum:"steady,straggler,data-centre,restart,overload,snapshots" sep:","`
+	Policy    limit.Policy  `help:"Policy for the limits of warm servers: share or adaptive." default:"adaptive"`
+	NoHedging bool          `help:"Send no second attempts of slow legs."`
+	Rate      float64       `help:"Requests per second." default:"60"`
+	Duration  time.Duration `help:"How long each scenario lasts." default:"8s"`
+	Seed      uint64        `help:"Seed of the arrivals." default:"1"`
+}
+
+// Run implements the command.
+func (c *TrialCmd) Run(ctx context.Context, out io.Writer) error {
+	return trial.Run(ctx, out, trial.Plan{
+		Scenarios: c.Scenario, Policy: c.Policy, Hedging: !c.NoHedging, Rate: c.Rate, Duration: c.Duration, Seed: c.Seed,
+	})
+}
+
 // DemoCmd runs the demonstration.
 type DemoCmd struct{}
 
--- /dev/null
+++ b/internal/standin/trial/trial.go
@@ -0,0 +1,225 @@
+// Package trial measures the whole path in one process: it starts a world, warms
+// it up, sends load at a steady rate while something goes wrong, and prints what
+// the callers got and what the backend servers were asked for it. It is scaffolding;
+// the product doesn't import it.
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/engine"
+	"hyssoppitch/core/limit"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/query"
+	"hyssoppitch/decl/sample"
+	"hyssoppitch/internal/standin/demo"
+	"hyssoppitch/internal/standin/fleet"
+	"hyssoppitch/internal/standin/load"
+	"hyssoppitch/io/setup"
+)
+
+// Plan says what to measure.
+type Plan struct {
+	// Scenarios names some of the scenarios; none means all.
+	Scenarios []string
+	Policy    limit.Policy
+	Hedging   bool
+	// Rate is in requests per second.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Result is one line of the table.
+type Result struct {
+	Scenario string       `json:"scenario"`
+	Policy   limit.Policy `json:"policy"`
+	Hedging  bool         `json:"hedging"`
+	// WarmedIn is the time from the start until every instance saw every server
+	// warm, in seconds, under a light load.
+	WarmedIn float64 `json:"warmed-in-s"`
+	// Extra is attempts beyond the first of each leg, over legs, and Sheds the
+	// refusals for lack of room, over legs.
+	Extra float64 `json:"extra"`
+	Sheds float64 `json:"sheds"`
+	// Overloads counts cold servers that fell over for too much work.
+	Overloads int         `json:"overloads"`
+	Report    load.Report `json:"report"`
+}
+
+const (
+	service  = "circuit-desk"
+	runTime  = 6 * time.Millisecond
+	connect  = 6 * time.Millisecond
+	oneWay   = 8 * time.Millisecond
+	straggle = 120
+	// overloadFactor times the plan's rate is more than the servers can do.
+	overloadFactor = 12
+	instances      = 4
+	warmUpRate     = 60
+	warmUpStep     = 500 * time.Millisecond
+	maxWarmUp      = 40 * time.Second
+	// faultAt and mendAt are the parts of the duration at which the fault begins
+	// and ends.
+	faultAt = 0.25
+	mendAt  = 0.6
+)
+
+// scenario is a fault and its end.
+type scenario struct {
+	name  string
+	begin func(w *demo.World)
+	end   func(w *demo.World)
+	// rateFactor multiplies the plan's rate.
+	rateFactor float64
+}
+
+// scenarios lists what can be measured.
+func scenarios() []scenario {
+	nothing := func(*demo.World) {}
+	return []scenario{
+		{name: "steady", begin: nothing, end: nothing, rateFactor: 1},
+		{name: "straggler", rateFactor: 1, begin: func(w *demo.World) {
+			w.Fleet.Carry(fleet.Order{Servers: service + ".g0[0-4].s0", Faults: &fleet.Faults{StraggleMs: straggle}})
+		}, end: func(w *demo.World) { w.Fleet.Carry(fleet.Order{Servers: "*", Faults: &fleet.Faults{}}) }},
+		{name: "data-centre", rateFactor: 1, begin: func(w *demo.World) { setDataCentre(w, model.DataCentreOut) }, end: func(w *demo.World) {
+			// While it was out its servers were restarted: it comes back cold.
+			for _, s := range w.Fleet.In("hill") {
+				s.Crash()
+			}
+			time.Sleep(time.Second)
+			setDataCentre(w, model.DataCentreIn)
+		}},
+		{name: "restart", rateFactor: 1, begin: func(w *demo.World) {
+			w.Fleet.Carry(fleet.Order{Servers: service + ".*.s1", Action: "crash"})
+		}, end: nothing},
+		{name: "overload", begin: nothing, end: nothing, rateFactor: overloadFactor},
+		{name: "snapshots", rateFactor: 1, begin: func(w *demo.World) {
+			go switchSnapshots(w)
+		}, end: nothing},
+	}
+}
+
+func setDataCentre(w *demo.World, s model.DataCentreState) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = w.SetDataCentre(ctx, "hill", s)
+}
+
+// switchSnapshots brings the next snapshots to one server after another.
+func switchSnapshots(w *demo.World) {
+	for v := model.Snapshot(2); v < 5; v++ {
+		for _, s := range w.Fleet.Match(service + ".*") {
+			s.SetData([]model.Snapshot{v - 1, v}, 1)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// Run measures and prints a JSON object per scenario.
+func Run(ctx context.Context, out io.Writer, p Plan) (err error) {
+	defer func() { err = errors.Wrap(err, "trial") }()
+	for _, s := range scenarios() {
+		if len(p.Scenarios) > 0 && !slices.Contains(p.Scenarios, s.name) {
+			continue
+		}
+		r, err := measure(ctx, p, s)
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measure(ctx context.Context, p Plan, s scenario) (r Result, err error) {
+	defer func() { err = errors.Wrapf(err, "scenario %q", s.name) }()
+	config, err := sample.Authority(sample.Layout{IP: "127.0.0.1", BasePort: 1}).Config()
+	if err != nil {
+		return r, err
+	}
+	config.Services = slices.DeleteFunc(config.Services, func(svc model.Service) bool { return svc.Name != service })
+	w, err := demo.Start(ctx, demo.Plan{Config: config, Instances: instances, Fleet: fleet.Options{
+		RunTime: runTime, ConnectTime: connect, Delay: fleet.Between(config, oneWay), Snapshots: []model.Snapshot{1},
+	}, Settings: func(s *setup.Settings) { s.Limits.Policy, s.Hedging = p.Policy, p.Hedging }})
+	if err != nil {
+		return r, err
+	}
+	defer w.Close()
+	warmedIn, err := warmUp(ctx, w, p.Seed)
+	if err != nil {
+		return r, err
+	}
+	before := total(w)
+	begin := time.AfterFunc(time.Duration(faultAt*float64(p.Duration)), func() { s.begin(w) })
+	defer begin.Stop()
+	end := time.AfterFunc(time.Duration(mendAt*float64(p.Duration)), func() { s.end(w) })
+	defer end.Stop()
+	r = Result{Scenario: s.name, Policy: p.Policy, Hedging: p.Hedging, WarmedIn: warmedIn.Seconds()}
+	r.Report = load.Run(ctx, load.Plan{
+		Instances: w.Addresses(), Service: service, Rate: p.Rate * s.rateFactor, Duration: p.Duration, Seed: p.Seed,
+	})
+	r.count(before, total(w))
+	for _, b := range w.Fleet.Match("*") {
+		r.Overloads += b.Stats().Overloads
+	}
+	return r, nil
+}
+
+// warmUp sends a light load until every server is warm. It returns the time taken.
+func warmUp(ctx context.Context, w *demo.World, seed uint64) (took time.Duration, err error) {
+	start := time.Now()
+	for w.ColdServers() > 0 {
+		if time.Since(start) > maxWarmUp {
+			return 0, errors.Newf("%d servers are cold after %s of load", w.ColdServers(), maxWarmUp)
+		}
+		load.Run(ctx, load.Plan{Instances: w.Addresses(), Service: service, Rate: warmUpRate, Duration: warmUpStep, Seed: seed})
+	}
+	return time.Since(start), nil
+}
+
+// count sets the ratios from the counters before and after.
+func (r *Result) count(before, after totals) {
+	legs := float64(after.first - before.first)
+	if legs == 0 {
+		return
+	}
+	r.Extra = float64(after.extra-before.extra) / legs
+	r.Sheds = float64(after.sheds-before.sheds) / legs
+}
+
+// totals are sums over all instances and servers.
+type totals struct {
+	first uint64
+	extra uint64
+	sheds uint64
+}
+
+func total(w *demo.World) (t totals) {
+	for _, in := range w.Instances {
+		in.Node.View(func(e *engine.Engine) { t.add(e.Queries.Counters) })
+	}
+	for _, s := range w.Fleet.Match("*") {
+		t.sheds += uint64(s.Stats().Sheds)
+	}
+	return t
+}
+
+func (t *totals) add(c query.Counters) {
+	t.first += c.AttemptsFirst
+	t.extra += c.AttemptsRetry + c.AttemptsHedge + c.AttemptsWarming
+}
+
+// String returns the result on one line.
+func (r Result) String() string {
+	return fmt.Sprintf("%s %s hedging %t: p99 %d us, coverage %.4f, extra %.3f", r.Scenario, r.Policy, r.Hedging, r.Report.Latency.P99, r.Report.Coverage, r.Extra)
+}
--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -95,6 +95,13 @@
 	return err == nil
 }
 
+func (p *reply) writeTwice(c net.Conn) bool {
+	if !p.write(c) {
+		return false
+	}
+	return p.write(c)
+}
+
 func attempt(address string) event.SendAttempt {
 	return event.SendAttempt{
 		Attempt: event.AttemptID{Instance: "i0", Incarnation: 1, Query: 7, Leg: 2, Number: 1},
@@ -178,8 +185,7 @@
 		{name: "deadline passed", answer: spoil(func(*reply) {}), change: func(a *event.SendAttempt) { a.Deadline = time.Now().Add(-time.Second) }, want: event.NotSent},
 		{name: "nobody listens", answer: spoil(func(*reply) {}), change: func(a *event.SendAttempt) { a.Address = "127.0.0.1:1" }, want: event.NotSent},
 		{name: "two replies on one connection", answer: func(_ int64, r *http.Request, _ []byte, c net.Conn) bool {
-			p := goodReply(r)
-			return p.write(c) && p.write(c)
+			return goodReply(r).writeTwice(c)
 		}, want: event.Answered},
 	}
 	for _, test := range tests {
@@ -205,8 +211,7 @@
 func TestReplyLeftOnConnection(t *testing.T) {
 	s := serve(t, func(n int64, r *http.Request, _ []byte, c net.Conn) bool {
 		if n == 1 {
-			p := goodReply(r)
-			return p.write(c) && p.write(c)
+			return goodReply(r).writeTwice(c)
 		}
 		return goodReply(r).write(c)
 	})
