Raise a cold server's allowance only by comparison with a warm one

Cause: with no warm server in the group, the cold server's own steady latency was taken as the reference, so the allowance rose after 4 answers. Ruled out: two owners (the grants and the ledger of attempts show one). Without a reference the rise now takes 24 answers per attempt allowed, and the death of a cold server with other work in flight condemns nobody. The tests' servers now take 24 runs to warm up (red before: up to 20 falls; green after).

--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -25,7 +25,7 @@
 	runTime  = 6 * time.Millisecond
 	coldTime = 30 * time.Millisecond
 	// warmRuns is the number of runs after which a fake server is warm.
-	warmRuns = 12
+	warmRuns = 24
 	rebootIn = 400 * time.Millisecond
 	// maxAtOnce is far above what a world does at one moment.
 	maxAtOnce = 100_000
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -148,7 +148,9 @@
 	}
 	switch {
 	case e.Kind == event.Died && !a.Cancelled:
-		news := s.Suspects.Death(now, a.Fingerprint, a.Alone)
+		// A cold server may have died of too much work.
+		alone := a.Alone && (!a.ToCold || a.Server.InFlight == 1)
+		news := s.Suspects.Death(now, a.Fingerprint, alone)
 		if news.State == event.SuspicionCondemned {
 			s.Counters.Condemned++
 		}
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -47,8 +47,9 @@
 	// riseAfter is how many answers in a row, per attempt allowed, raise the
 	// allowance when the latency is near that of a warm server.
 	riseAfter = 4
-	// riseAnyway is how many raise it when the latency stays high: the server
-	// may be slower than its group for good.
+	// riseAnyway is how many raise it when the latency is not near that of a warm
+	// server, or when no server of the group is warm to compare with: the server
+	// may be slower than its group for good, or still as cold as it was.
 	riseAnyway = 24
 	// nearFactor times a warm server's latency is near it.
 	nearFactor = 2
@@ -281,9 +282,9 @@
 		return false
 	}
 	s.Streak++
-	enough := riseAfter * s.Allowance
-	if !k.near(s, latency) {
-		enough = riseAnyway * s.Allowance
+	enough := riseAnyway * s.Allowance
+	if k.near(s, latency) {
+		enough = riseAfter * s.Allowance
 	}
 	if s.Streak < enough {
 		k.Serve(now, s)
@@ -298,8 +299,9 @@
 	return false
 }
 
-// near reports whether a latency is near that of the group's warm servers, or
-// that there is none to compare with and the latency is steady.
+// near reports whether a latency is near that of the group's fastest warm server.
+// Without one the server's own latency would prove nothing: a cold server is
+// steadily slow.
 func (k *Keeper) near(s *limit.Server, latency time.Duration) bool {
 	var reference time.Duration
 	for _, o := range k.Servers.Group(s.Service, s.Group) {
@@ -308,7 +310,7 @@
 		}
 	}
 	if reference == 0 {
-		reference = s.Base
+		return false
 	}
 	return latency <= max(nearFactor*reference, nearFloor)
 }
