Forget the latency of a cold server when it turns warm; try idle servers again

Cause: a server's latency from its cold phase (30 ms) stayed as its estimate, so the local replica (6 ms) lost to remote ones (22 ms) for good. Ruled out: limits of 1 colliding (in flight was 0 at each remote choice), hedges (extra 0).

--- a/core/limit/adapt.go
+++ b/core/limit/adapt.go
@@ -39,6 +39,10 @@
 	// fade is the part of the distance to the base that an estimate loses with each
 	// call of Fade.
 	fade = 0.25
+	// idleFade is the part of the estimate itself that it loses with each call
+	// without an answer since the last: a server of twice the others' latency is
+	// tried again after some 17 s.
+	idleFade = 0.02
 	// baseRise is the weight of a sample above the base.
 	baseRise = 0.002
 )
@@ -64,6 +68,7 @@
 
 // Observe updates Latency, Base and Slow.
 func (s *Server) Observe(latency time.Duration) {
+	s.Recent++
 	if latency > s.Latency {
 		s.Latency = latency
 	} else {
@@ -111,8 +116,15 @@
 	return s.Slow >= slowAlone
 }
 
-// Fade moves the latency estimate towards the base as time passes. A server that
-// was slow once is avoided, so that no answer would show that it is fast again.
+// Fade moves the latency estimate down as time passes: towards the base, and below
+// it while there are no answers. A server that was slow is avoided, so that without
+// this no answer would ever show that it is fast again.
 func (s *Server) Fade() {
-	s.Latency -= time.Duration(fade * float64(s.Latency-s.Base))
+	if s.Recent > 0 || s.Latency > s.Base {
+		s.Latency -= time.Duration(fade * float64(s.Latency-s.Base))
+	}
+	if s.Recent == 0 {
+		s.Latency -= time.Duration(idleFade * float64(s.Latency))
+	}
+	s.Recent = 0
 }
--- a/core/limit/state.go
+++ b/core/limit/state.go
@@ -54,6 +54,8 @@
 func (s *Server) TurnWarm(share float64) {
 	s.State = Warm
 	s.Limit = share
+	// What was measured of the cold server says nothing of the warm one.
+	s.Latency, s.Base = 0, 0
 	s.Streak, s.Slow, s.Sheds = 0, 0, 0
 	s.Grants, s.Waiting = nil, nil
 }
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -89,6 +89,8 @@
 	Latency time.Duration
 	// Base is the recent least time of an answered attempt.
 	Base time.Duration
+	// Recent counts the answers since Fade was last called.
+	Recent int
 	// Slow and Sheds count answers far above Base, and sheds, in a row.
 	Slow  int
 	Sheds int
