Learn from attempts that a hedge made obsolete

Cause: the slower of two attempts is cancelled, so a straggler's time was never observed and it stayed the first choice for every query; the hedge budget then ran out. The time until cancellation now counts as a lower bound. A hedge is also due by the first sample of a group in place of 50 ms, and not before 1.5 times a distant server's base.

--- a/core/query/budget.go
+++ b/core/query/budget.go
@@ -34,8 +34,15 @@
 	hedgeQuantile = 0.95
 	// hedgeFloor is the least wait before a hedge.
 	hedgeFloor = 2 * time.Millisecond
+	// hedgeRetry is the wait before a hedge is tried again that found no room.
+	hedgeRetry = 5 * time.Millisecond
 	// hedgeStart is the wait before a hedge while nothing is known of a group.
 	hedgeStart = 50 * time.Millisecond
+	// firstQuantile times the first sample is the first estimate.
+	firstQuantile = 2
+	// distantFactor times the base of a distant server is waited for before a
+	// hedge, so that distance is not taken for slowness.
+	distantFactor = 1.5
 	// quantileStep is the relative step of the quantile estimate.
 	quantileStep = 0.05
 )
@@ -48,7 +55,7 @@
 
 func (e *quantile) observe(d time.Duration) {
 	if e.value == 0 {
-		e.value = hedgeStart
+		e.value = firstQuantile * d
 	}
 	step := float64(e.value) * quantileStep
 	if d > e.value {
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -190,7 +190,7 @@
 		s.extras.earn()
 	}
 	if kind == FirstAttempt || kind == RetryAttempt {
-		s.armHedge(now, q, leg)
+		s.armHedge(now, q, leg, b)
 	}
 }
 
@@ -220,12 +220,13 @@
 }
 
 // armHedge sets the time at which a leg gets a second attempt.
-func (s *System) armHedge(now time.Time, q *Query, leg int) {
+func (s *System) armHedge(now time.Time, q *Query, leg int, b *limit.Server) {
 	if !s.Options.Hedging || q.Class.NonIdempotent || s.suspect(now, q) {
 		return
 	}
 	key := limit.GroupKey{Service: q.Service.Name, Group: q.Legs[leg].Group.Name}
-	at := now.Add(s.group(key).tail.hedgeAfter())
+	wait := max(s.group(key).tail.hedgeAfter(), time.Duration(distantFactor*float64(b.Base)))
+	at := now.Add(wait)
 	if at.Before(q.AnswerBy) {
 		s.setTimer(timer{at: at, kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
 	}
@@ -239,7 +240,12 @@
 		return
 	}
 	b := s.choose(now, q, l, false)
-	if b == nil || b.State != limit.Warm || now.Add(b.Expected()).After(q.AnswerBy) {
+	if b == nil || b.State != limit.Warm {
+		// No server has room now; one may have soon.
+		s.setTimer(timer{at: now.Add(hedgeRetry), kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
+		return
+	}
+	if now.Add(b.Expected()).After(q.AnswerBy) {
 		return
 	}
 	if !s.hedges.spend() {
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -91,7 +91,9 @@
 			s.changed(b, "connection failed")
 		}
 	case event.TimedOut:
-		if !a.Cancelled && !a.ToCold {
+		// The answer would have taken at least this long; a cancelled attempt that
+		// ended sooner than expected tells nothing.
+		if !a.ToCold && (!a.Cancelled || latency > b.Latency) {
 			b.Observe(latency)
 		}
 		a.HoldUntil = a.SentAt.Add(holdFactor * max(b.Latency, latency))
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -49,6 +49,12 @@
 	// refusals for lack of room, over legs.
 	Extra float64 `json:"extra"`
 	Sheds float64 `json:"sheds"`
+	// Hedges, Warming and Retries are parts of Extra; OverBudget counts attempts
+	// that the budget forbade.
+	Hedges     uint64 `json:"hedges"`
+	Warming    uint64 `json:"warming"`
+	Retries    uint64 `json:"retries"`
+	OverBudget uint64 `json:"over-budget"`
 	// Overloads counts cold servers that fell over for too much work.
 	Overloads int         `json:"overloads"`
 	Report    load.Report `json:"report"`
@@ -189,19 +195,22 @@
 
 // count sets the ratios from the counters before and after.
 func (r *Result) count(before, after totals) {
-	legs := float64(after.first - before.first)
+	r.Hedges = after.counters.AttemptsHedge - before.counters.AttemptsHedge
+	r.Warming = after.counters.AttemptsWarming - before.counters.AttemptsWarming
+	r.Retries = after.counters.AttemptsRetry - before.counters.AttemptsRetry
+	r.OverBudget = after.counters.BudgetRefused - before.counters.BudgetRefused
+	legs := float64(after.counters.AttemptsFirst - before.counters.AttemptsFirst)
 	if legs == 0 {
 		return
 	}
-	r.Extra = float64(after.extra-before.extra) / legs
+	r.Extra = float64(r.Hedges+r.Warming+r.Retries) / legs
 	r.Sheds = float64(after.sheds-before.sheds) / legs
 }
 
 // totals are sums over all instances and servers.
 type totals struct {
-	first uint64
-	extra uint64
-	sheds uint64
+	counters query.Counters
+	sheds    uint64
 }
 
 func total(w *demo.World) (t totals) {
@@ -215,8 +224,11 @@
 }
 
 func (t *totals) add(c query.Counters) {
-	t.first += c.AttemptsFirst
-	t.extra += c.AttemptsRetry + c.AttemptsHedge + c.AttemptsWarming
+	t.counters.AttemptsFirst += c.AttemptsFirst
+	t.counters.AttemptsRetry += c.AttemptsRetry
+	t.counters.AttemptsHedge += c.AttemptsHedge
+	t.counters.AttemptsWarming += c.AttemptsWarming
+	t.counters.BudgetRefused += c.BudgetRefused
 }
 
 // String returns the result on one line.
