Compute neighbours and view digest only when the view changes

Cause: each upkeep asked, for every member, whether it is a neighbour, and each time sorted all members on the ring: quadratic.

--- /dev/null
+++ b/core/engine/bench_test.go
@@ -0,0 +1,63 @@
+package engine_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/engine"
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/member"
+	"hyssoppitch/core/model"
+)
+
+// BenchmarkUpkeep measures one upkeep of an instance that knows some peers and some
+// servers: the processor time of control.
+func BenchmarkUpkeep(b *testing.B) {
+	for _, peers := range []int{4, 100, 700, 2800} {
+		b.Run(fmt.Sprintf("peers-%d", peers), func(b *testing.B) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			e := engine.New(now, model.Instance{ID: "self", Incarnation: 1, Address: "127.0.0.1:1"}, engine.Options{})
+			e.Tick(now, memberEvents(peers))
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second / 2)
+				e.Tick(now, nil)
+			}
+		})
+	}
+}
+
+// memberEvents tells an engine of other instances, by the word of one linked peer.
+func memberEvents(peers int) []event.Event {
+	peer := model.Instance{ID: "peer", Incarnation: 1, Address: "127.0.0.1:2"}
+	news := make([]event.MemberNews, peers)
+	for i := range news {
+		news[i] = event.MemberNews{Instance: model.Instance{
+			ID: model.InstanceID(fmt.Sprintf("instance-%04d", i)), Incarnation: 1, Address: fmt.Sprintf("10.0.%d.%d:9080", i/256, i%256), DataCentre: "harbour",
+		}, State: event.MemberAlive}
+	}
+	return []event.Event{
+		event.PeerLinked{Peer: peer},
+		event.PeerReceived{From: "peer", Message: event.Message{Members: &event.Members{News: news, Whole: true}}},
+	}
+}
+
+// BenchmarkViewMemory reports the memory that one known instance takes.
+func BenchmarkViewMemory(b *testing.B) {
+	const peers = 2800
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		v := member.New(now, model.Instance{ID: "self"})
+		news := memberEvents(peers)[1].(event.PeerReceived).Message.Members.News //nolint:forcetypeassert // Built above.
+		v.Apply(now, news)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(v)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/peers, "bytes/instance")
+	}
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,11 +75,16 @@
 	// ID.
 	listed []model.Instance
 	left   bool
+	// neighbours and digest are kept until the view or the list changes; stale
+	// says that it did.
+	neighbours []model.Instance
+	digest     uint64
+	stale      bool
 }
 
 // New returns a view that holds only this instance.
 func New(now time.Time, self model.Instance) *View {
-	v := &View{Self: self}
+	v := &View{Self: self, stale: true}
 	v.rows = []*Member{{Instance: self, State: event.MemberAlive, Since: now}}
 	return v
 }
@@ -156,7 +161,7 @@
 
 // Leave records that this instance leaves. It returns the news to pass on.
 func (v *View) Leave(now time.Time) []event.MemberNews {
-	v.left = true
+	v.left, v.stale = true, true
 	m := v.Get(v.Self.ID)
 	m.State, m.Since = event.MemberLeft, now
 	return []event.MemberNews{{Instance: v.Self, State: event.MemberLeft}}
@@ -182,6 +187,7 @@
 		return nil
 	}
 	v.Self.Incarnation = n.Instance.Incarnation + 1
+	v.stale = true
 	v.Get(v.Self.ID).Instance = v.Self
 	return []event.MemberNews{{Instance: v.Self, State: event.MemberAlive}}
 }
@@ -191,6 +197,7 @@
 func (v *View) take(now time.Time, n event.MemberNews) bool {
 	i, ok := v.search(n.Instance.ID)
 	if !ok {
+		v.stale = true
 		v.rows = slices.Insert(v.rows, i, &Member{Instance: n.Instance, State: n.State, Since: now})
 		return true
 	}
@@ -201,19 +208,23 @@
 		return false
 	}
 	m.Instance, m.State, m.Since = n.Instance, n.State, now
+	v.stale = true
 	return true
 }
 
 // Listed takes in the platform's list of live instances. The list lags: it names
 // instances to link to, and kills none.
 func (v *View) Listed(list []event.ListedInstance) {
-	v.listed = v.listed[:0]
+	var next []model.Instance
 	for _, l := range list {
 		if l.ID != v.Self.ID && l.State == event.ListedLive {
-			v.listed = append(v.listed, model.Instance{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre})
+			next = append(next, model.Instance{ID: l.ID, Address: l.Address, DataCentre: l.DataCentre})
 		}
 	}
-	slices.SortFunc(v.listed, func(a, b model.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(next, func(a, b model.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if !slices.Equal(next, v.listed) {
+		v.listed, v.stale = next, true
+	}
 }
 
 // electorate returns the instances that a quorum is counted over: those on the
@@ -269,12 +280,16 @@
 
 // Tick moves the states that depend on time. It returns the news to pass on.
 func (v *View) Tick(now time.Time) (fresh []event.MemberNews) {
+	watched := map[model.InstanceID]bool{}
+	for _, p := range v.Neighbours() {
+		watched[p.ID] = true
+	}
 	for _, m := range v.rows {
 		if m.ID == v.Self.ID {
 			continue
 		}
 		switch {
-		case m.State == event.MemberAlive && v.neighbour(m.ID) && v.silent(now, m):
+		case m.State == event.MemberAlive && watched[m.ID] && v.silent(now, m):
 			m.State, m.Since = event.MemberSuspect, now
 		case m.State == event.MemberSuspect && now.Sub(m.Since) > deadAfter:
 			m.State, m.Since = event.MemberDead, now
@@ -282,6 +297,7 @@
 			continue
 		}
 		fresh = append(fresh, event.MemberNews{Instance: m.Instance, State: m.State})
+		v.stale = true
 	}
 	v.rows = slices.DeleteFunc(v.rows, func(m *Member) bool {
 		return !m.Counts() && m.ID != v.Self.ID && now.Sub(m.Since) > forgetAfter
@@ -302,16 +318,30 @@
 	return now.Sub(last) > silentAfter
 }
 
-// neighbour reports whether this instance is to keep a link to another, and so is
-// a judge of its silence.
-func (v *View) neighbour(id model.InstanceID) bool {
-	return slices.ContainsFunc(v.Neighbours(), func(p model.Instance) bool { return p.ID == id })
+// refresh recomputes what depends on the view and the list, if they changed.
+func (v *View) refresh() {
+	if !v.stale {
+		return
+	}
+	v.neighbours, v.digest, v.stale = v.findNeighbours(), v.computeDigest(), false
 }
 
-// Neighbours returns the instances to keep links to: all of them in a small
-// deployment; else those next to this one, to both sides, on a ring in the order
-// of a hash, so that every instance has watchers and the links make one graph.
+// Neighbours returns the instances to keep links to, whose silence this one is a
+// judge of: all of them in a small deployment; else those next to this one, to both
+// sides, on a ring in the order of a hash, so that every instance has watchers and
+// the links make one graph. The result is not to be changed.
 func (v *View) Neighbours() []model.Instance {
+	v.refresh()
+	return v.neighbours
+}
+
+// Digest returns a number that is equal for equal views.
+func (v *View) Digest() uint64 {
+	v.refresh()
+	return v.digest
+}
+
+func (v *View) findNeighbours() []model.Instance {
 	all := v.candidates()
 	if len(all) < maxFullMesh {
 		return slices.DeleteFunc(all, func(p model.Instance) bool { return p.ID == v.Self.ID })
@@ -351,8 +381,7 @@
 	return out
 }
 
-// Digest returns a number that is equal for equal views.
-func (v *View) Digest() uint64 {
+func (v *View) computeDigest() uint64 {
 	d := xxhash.New()
 	var b [16]byte
 	for _, m := range v.rows {
