--- a/core/engine/bench_test.go
+++ b/core/engine/bench_test.go
@@ -32,16 +32,20 @@
 // memberEvents tells an engine of other instances, by the word of one linked peer.
 func memberEvents(peers int) []event.Event {
 	peer := model.Instance{ID: "peer", Incarnation: 1, Address: "127.0.0.1:2"}
+	return []event.Event{
+		event.PeerLinked{Peer: peer},
+		event.PeerReceived{From: "peer", Message: event.Message{Members: &event.Members{News: memberNews(peers), Whole: true}}},
+	}
+}
+
+func memberNews(peers int) []event.MemberNews {
 	news := make([]event.MemberNews, peers)
 	for i := range news {
 		news[i] = event.MemberNews{Instance: model.Instance{
 			ID: model.InstanceID(fmt.Sprintf("instance-%04d", i)), Incarnation: 1, Address: fmt.Sprintf("10.0.%d.%d:9080", i/256, i%256), DataCentre: "harbour",
 		}, State: event.MemberAlive}
 	}
-	return []event.Event{
-		event.PeerLinked{Peer: peer},
-		event.PeerReceived{From: "peer", Message: event.Message{Members: &event.Members{News: news, Whole: true}}},
-	}
+	return news
 }
 
 // BenchmarkViewMemory reports the memory that one known instance takes.
@@ -53,8 +57,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		v := member.New(now, model.Instance{ID: "self"})
-		news := memberEvents(peers)[1].(event.PeerReceived).Message.Members.News //nolint:forcetypeassert // Built above.
-		v.Apply(now, news)
+		v.Apply(now, memberNews(peers))
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(v)
