Read a server's status less often while its replies tell the same

Cause: worked out for 2,800 nodes, status reads are the largest part of control traffic. Polls of 9 servers by 4 instances in 10 s: 360 before, idle or not; 120 under load after.

--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -10,8 +10,13 @@
 	"hyssoppitch/core/model"
 )
 
-// pollInterval is the time between two reads of a server's status.
-const pollInterval = time.Second
+const (
+	// pollInterval is the time between two reads of a server's status.
+	pollInterval = time.Second
+	// repliedPollInterval is the same for a server whose replies carry its report.
+	// It is read all the same, since a drain may show in the status only.
+	repliedPollInterval = 3 * time.Second
+)
 
 // upkeep does what is due by the clock.
 func (e *Engine) upkeep(now time.Time) {
@@ -68,12 +73,16 @@
 	e.pingNumber++
 }
 
-// poll asks for the status of the servers that are due: each is read once per
-// pollInterval, spread over the time, and sooner while it is down.
+// poll asks for the status of the servers that are due, spread over the time, and
+// of those that are down or may have restarted.
 func (e *Engine) poll(now time.Time) {
 	for i, b := range e.Servers.Rows {
+		interval := pollInterval
+		if now.Sub(b.RepliedAt) < pollInterval {
+			interval = repliedPollInterval
+		}
 		down := b.State == limit.Down && !now.Before(b.DownUntil)
-		due := (e.pingNumber+uint64(i))%uint64(pollInterval/upkeepInterval) == 0
+		due := (e.pingNumber+uint64(i))%uint64(interval/upkeepInterval) == 0
 		if down || due || b.Unverified || b.State == limit.Unknown {
 			e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
 		}
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -73,6 +73,8 @@
 	// Unverified is set when the server may have restarted since it was last heard:
 	// it gets no work until its status shows which boot this is.
 	Unverified bool
+	// RepliedAt is when a reply last carried the server's report.
+	RepliedAt time.Time
 	// DownUntil and Backoff space the tries to reach a server that is Down.
 	DownUntil time.Time
 	Backoff   time.Duration
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -68,6 +68,9 @@
 func (s *System) observe(now time.Time, a *Attempt, e event.AttemptEnded) {
 	b := a.Server
 	latency := now.Sub(a.SentAt)
+	if e.Report.Boot != "" {
+		b.RepliedAt = now
+	}
 	if b.Seen(e.Report) {
 		s.changed(b, "another boot identity in a reply")
 	}
