--- a/core/member/member.go
+++ b/core/member/member.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -39,7 +40,7 @@
 	// maxFullMesh is the number of instances up to which each links to all.
 	maxFullMesh = 12
 	// ringLinks is the number of neighbours to each side on the ring of a larger
-	// deployment.
+	// deployment, at growing distances.
 	ringLinks = 4
 )
 
@@ -323,13 +324,13 @@
 	if !v.stale {
 		return
 	}
-	v.neighbours, v.digest, v.stale = v.findNeighbours(), v.computeDigest(), false
+	v.neighbours, v.digest, v.stale = v.NeighboursOf(v.Self.ID), v.computeDigest(), false
 }
 
 // Neighbours returns the instances to keep links to, whose silence this one is a
-// judge of: all of them in a small deployment; else those next to this one, to both
-// sides, on a ring in the order of a hash, so that every instance has watchers and
-// the links make one graph. The result is not to be changed.
+// judge of: all of them in a small deployment; else those at some distances to both
+// sides on a ring in the order of a hash, so that every instance has watchers and
+// the links make one graph of few hops. The result is not to be changed.
 func (v *View) Neighbours() []model.Instance {
 	v.refresh()
 	return v.neighbours
@@ -341,10 +342,11 @@
 	return v.digest
 }
 
-func (v *View) findNeighbours() []model.Instance {
+// NeighboursOf returns the instances that an instance of the view keeps links to.
+func (v *View) NeighboursOf(self model.InstanceID) []model.Instance {
 	all := v.candidates()
 	if len(all) < maxFullMesh {
-		return slices.DeleteFunc(all, func(p model.Instance) bool { return p.ID == v.Self.ID })
+		return slices.DeleteFunc(all, func(p model.Instance) bool { return p.ID == self })
 	}
 	ids := make([]model.InstanceID, len(all))
 	byID := make(map[model.InstanceID]model.Instance, len(all))
@@ -353,16 +355,27 @@
 		byID[p.ID] = p
 	}
 	ring := route.Holders("ring", ids, len(ids))
-	at := slices.Index(ring, v.Self.ID)
+	at := slices.Index(ring, self)
 	var out []model.Instance
-	for step := 1; step <= ringLinks; step++ {
+	for _, step := range ringSteps(len(ring)) {
 		out = append(out, byID[ring[(at+step)%len(ring)]], byID[ring[(at-step+len(ring))%len(ring)]])
 	}
-	// One link across the ring keeps the number of hops small.
-	out = append(out, byID[ring[(at+len(ring)/2)%len(ring)]])
 	return out
 }
 
+// ringSteps returns the distances of the neighbours to one side on a ring of n
+// instances: the powers of the ringLinks-th root of n. Every instance is then within
+// some ringLinks times half that root of hops, and a distance that one instance
+// keeps to the right, another keeps to the left.
+func ringSteps(n int) []int {
+	root := int(math.Ceil(math.Pow(float64(n), 1.0/ringLinks)))
+	steps := make([]int, 0, ringLinks)
+	for step := 1; len(steps) < ringLinks && step < n/2; step *= max(root, 2) {
+		steps = append(steps, step)
+	}
+	return steps
+}
+
 // candidates returns the live instances and those that the platform lists, this one
 // included. One that is listed and believed dead is among them: after a partition
 // each side believes the other dead, and somebody has to try.
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,141 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/member"
+	"hyssoppitch/core/model"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func instance(n int) model.Instance {
+	id := fmt.Sprintf("instance-%04d", n)
+	return model.Instance{ID: model.InstanceID(id), Incarnation: 1, Address: id}
+}
+
+// viewOf returns instance self's view of n live instances.
+func viewOf(self, n int) *member.View {
+	v := member.New(start, instance(self))
+	for i := range n {
+		if i != self {
+			v.Apply(start, []event.MemberNews{{Instance: instance(i), State: event.MemberAlive}})
+		}
+	}
+	return v
+}
+
+// TestLinksMakeAGraphOfFewHops checks that links are mutual, few, and reach every
+// instance within a few hops.
+func TestLinksMakeAGraphOfFewHops(t *testing.T) {
+	tests := []struct{ instances, links, hops int }{
+		{4, 3, 1}, {11, 10, 1}, {12, 8, 4}, {50, 8, 6}, {700, 8, 16}, {2800, 8, 20},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.instances), func(t *testing.T) {
+			links := map[model.InstanceID][]model.Instance{}
+			// All views are equal, so that one knows the links of all.
+			view := viewOf(0, test.instances)
+			for self := range test.instances {
+				links[instance(self).ID] = view.NeighboursOf(instance(self).ID)
+			}
+			hops, reached := breadth(links, instance(0).ID)
+			if reached != test.instances || hops > test.hops {
+				t.Errorf("reached %d in %d hops, want %d in %d", reached, hops, test.instances, test.hops)
+			}
+			t.Logf("%d hops", hops)
+			for id, ps := range links {
+				if len(ps) > test.links {
+					t.Fatalf("%s: got %d links, want %d at most", id, len(ps), test.links)
+				}
+				for _, p := range ps {
+					if !holds(links[p.ID], id) {
+						t.Fatalf("%s links to %s, and not the other way round", id, p.ID)
+					}
+				}
+			}
+		})
+	}
+}
+
+func holds(ps []model.Instance, id model.InstanceID) bool {
+	for _, p := range ps {
+		if p.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// breadth returns the hops to the farthest instance and the number reached.
+func breadth(links map[model.InstanceID][]model.Instance, from model.InstanceID) (hops, reached int) {
+	distance := map[model.InstanceID]int{from: 0}
+	queue := []model.InstanceID{from}
+	for len(queue) > 0 {
+		id := queue[0]
+		queue = queue[1:]
+		hops = distance[id]
+		for _, p := range links[id] {
+			if _, ok := distance[p.ID]; !ok {
+				distance[p.ID] = hops + 1
+				queue = append(queue, p.ID)
+			}
+		}
+	}
+	return hops, len(distance)
+}
+
+func TestQuorumContact(t *testing.T) {
+	now := start.Add(time.Hour)
+	tests := []struct {
+		name string
+		self int
+		// listed and contact are instances by number; contact lists those that
+		// answered just now.
+		listed  []int
+		contact []int
+		want    bool
+	}{
+		{name: "alone", self: 0, listed: []int{0}, want: true},
+		{name: "three of four", self: 3, listed: []int{0, 1, 2, 3}, contact: []int{1, 2}, want: true},
+		{name: "two of four with the first", self: 3, listed: []int{0, 1, 2, 3}, contact: []int{0}, want: true},
+		{name: "two of four, being the first", self: 0, listed: []int{0, 1, 2, 3}, contact: []int{3}, want: true},
+		{name: "two of four without the first", self: 3, listed: []int{0, 1, 2, 3}, contact: []int{2}},
+		{name: "one of four", self: 0, listed: []int{0, 1, 2, 3}},
+		{name: "two of three", self: 1, listed: []int{0, 1, 2}, contact: []int{2}, want: true},
+		{name: "one of two, the first", self: 0, listed: []int{0, 1}, want: true},
+		{name: "one of two, the other", self: 1, listed: []int{0, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v := member.New(start, instance(test.self))
+			var listed []event.ListedInstance
+			for _, n := range test.listed {
+				listed = append(listed, event.ListedInstance{ID: instance(n).ID, State: event.ListedLive})
+			}
+			v.Listed(listed)
+			for _, n := range test.contact {
+				v.Link(start, instance(n))
+				v.Contact(instance(n).ID, now)
+			}
+			if got := v.QuorumContact(now).Equal(now); got != test.want {
+				t.Errorf("got %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestNewsOfOwnDeathIsRefuted(t *testing.T) {
+	v := viewOf(0, 3)
+	fresh := v.Apply(start, []event.MemberNews{{Instance: instance(0), State: event.MemberDead}})
+	if len(fresh) != 1 || fresh[0].State != event.MemberAlive || fresh[0].Instance.Incarnation != 2 {
+		t.Errorf("got %+v, want this instance alive in incarnation 2", fresh)
+	}
+	v.Leave(start)
+	if fresh := v.Apply(start, []event.MemberNews{{Instance: instance(0), State: event.MemberDead}}); len(fresh) != 0 {
+		t.Errorf("after it left: got %+v, want nothing", fresh)
+	}
+}
