Let only a later status verify a server's boot

Cause: a status that was asked for before a restart, read after the connection broke, cleared the doubt; the read that failed was then ignored. Green: the doubt has a time, and only what was asked for later ends it. Ruled out: an instance without a connection (status reads keep one open).

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -150,7 +150,7 @@
 	e.Emit(event.StateChanged{Kind: "instance", Name: string(e.Self.ID), From: "paused", To: "running", Why: "no tick for " + now.Sub(e.lastTick).String()})
 	e.Warm.Paused(now)
 	for _, b := range e.Servers.Rows {
-		e.verify(b)
+		e.verify(now, b)
 	}
 }
 
@@ -165,7 +165,7 @@
 		e.Queries.Ended(now, v)
 	case event.ConnectionLost:
 		if b := e.Servers.At(v.Address); b != nil {
-			e.verify(b)
+			e.verify(now, b)
 		}
 	case event.StatusSeen:
 		e.statusSeen(now, v)
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -83,18 +83,18 @@
 		}
 		down := b.State == limit.Down && !now.Before(b.DownUntil)
 		due := (e.pingNumber+uint64(i))%uint64(interval/upkeepInterval) == 0
-		if down || due || b.Unverified || b.State == limit.Unknown {
+		if down || due || b.Unverified() || b.State == limit.Unknown {
 			e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
 		}
 	}
 }
 
 // verify keeps work from a server until its status shows which boot it is in.
-func (e *Engine) verify(b *limit.Server) {
-	if b.Unverified || b.State == limit.Unknown || b.State == limit.Down {
+func (e *Engine) verify(now time.Time, b *limit.Server) {
+	if b.State == limit.Unknown || b.State == limit.Down {
 		return
 	}
-	b.Unverified = true
+	b.Suspect(now)
 	e.Emit(event.PollStatus{Server: b.ID, Address: b.Address})
 }
 
@@ -107,17 +107,16 @@
 	}
 	before := b.State
 	if !v.Reached {
-		if b.State == limit.Down || b.Unverified {
+		if b.State == limit.Down || (b.Unverified() && !v.AskedAt.Before(b.SuspectedAt)) {
 			b.Lost(now)
 		}
 		e.noteServer(now, b, before, "status unreachable")
 		return
 	}
-	wasUnverified := b.Unverified
 	if !b.Seen(v.Report) {
 		b.Back()
 	}
-	if wasUnverified {
+	if b.Verify(v.AskedAt) {
 		e.Queries.ServerChanged(b)
 	}
 	switch {
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -478,7 +478,12 @@
 			})
 		}
 	case event.PollStatus:
-		w.after(2*hop, func() { n.post(w.servers[c.Server].status()) })
+		askedAt := w.now
+		w.after(hop, func() {
+			seen := w.servers[c.Server].status()
+			seen.AskedAt = askedAt
+			w.after(hop, func() { n.post(seen) })
+		})
 	case event.ConfigInForce:
 		if c.Config.Version <= n.inForce {
 			w.fail("promise 9: %s went from version %d to %d", n.id, n.inForce, c.Config.Version)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -168,6 +168,8 @@
 	Server model.ServerID
 	// Reached is false when the endpoint gave no answer.
 	Reached bool
+	// AskedAt is when the read began: what happened since may be missing from it.
+	AskedAt time.Time
 	Report  ServerReport
 }
 
--- a/core/limit/state.go
+++ b/core/limit/state.go
@@ -15,9 +15,6 @@
 // returns true when the report shows another boot than the one known: the server
 // is then cold, whatever was known before.
 func (s *Server) Seen(r event.ServerReport) (rebooted bool) {
-	if r.Boot != "" {
-		s.Unverified = false
-	}
 	if r.Snapshots != nil {
 		s.Snapshots = r.Snapshots
 	}
@@ -28,6 +25,7 @@
 		return false
 	}
 	s.Boot = r.Boot
+	s.SuspectedAt = time.Time{}
 	s.Drain = 0
 	s.turnCold(0)
 	if s.Announced.Boot == r.Boot {
@@ -36,6 +34,23 @@
 	return true
 }
 
+// Suspect notes that the server may have restarted.
+func (s *Server) Suspect(now time.Time) { s.SuspectedAt = now }
+
+// Unverified reports whether the server may have restarted since its boot was last
+// shown.
+func (s *Server) Unverified() bool { return !s.SuspectedAt.IsZero() }
+
+// Verify ends a suspicion by a status that was asked for after it began. It returns
+// false when there is none, or the status is too old to tell.
+func (s *Server) Verify(askedAt time.Time) bool {
+	if !s.Unverified() || askedAt.Before(s.SuspectedAt) {
+		return false
+	}
+	s.SuspectedAt = time.Time{}
+	return true
+}
+
 // turnCold puts the server into the cold state of a generation.
 func (s *Server) turnCold(generation uint64) {
 	s.State = Cold
@@ -84,7 +99,7 @@
 // Lost records that the server could not be reached. It is tried again after a
 // backoff that doubles up to lastBackoff.
 func (s *Server) Lost(now time.Time) {
-	s.Unverified = false
+	s.SuspectedAt = time.Time{}
 	s.Allowance = 1
 	if s.State != Draining {
 		s.State = Down
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -70,9 +70,11 @@
 	// Drain is the set of sources that say the server is leaving. Non-zero
 	// exactly when State is Draining.
 	Drain DrainSource
-	// Unverified is set when the server may have restarted since it was last heard:
-	// it gets no work until its status shows which boot this is.
-	Unverified bool
+	// SuspectedAt is when the server was last seen to close a connection, or this
+	// process to stand still: the server may have restarted. It gets no work until a
+	// status that was asked for later shows which boot this is. The zero time means
+	// that the boot is verified.
+	SuspectedAt time.Time
 	// RepliedAt is when a reply last carried the server's report.
 	RepliedAt time.Time
 	// DownUntil and Backoff space the tries to reach a server that is Down.
--- a/core/query/snapshot.go
+++ b/core/query/snapshot.go
@@ -12,7 +12,7 @@
 // usable reports whether a server may get work now or soon: its data centre is
 // in, and it is warm, cold or not heard of yet.
 func (s *System) usable(b *limit.Server) bool {
-	if s.out[b.DataCentre] || b.Unverified {
+	if s.out[b.DataCentre] || b.Unverified() {
 		return false
 	}
 	return b.State == limit.Warm || b.State == limit.Cold
@@ -220,7 +220,7 @@
 	for _, b := range s.Servers.Group(q.Service.Name, l.Group.Name) {
 		switch {
 		case s.out[b.DataCentre], b.State == limit.Draining, b.State == limit.Down:
-		case b.State == limit.Unknown, b.Unverified:
+		case b.State == limit.Unknown, b.Unverified():
 			return ""
 		case slices.Contains(l.Tried, b.ID):
 			tried = true
