--- a/core/engine/cold_test.go
+++ b/core/engine/cold_test.go
@@ -36,6 +36,7 @@
 // TestColdServersGetNoMoreThanTheyBear checks promise 6: the fake servers fall over
 // when the work in flight, summed over all instances, is more than they bear.
 func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	t.Parallel()
 	const server = model.ServerID("s0-0")
 	tests := []struct {
 		name  string
@@ -138,6 +139,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				w := newWorld(seed, testConfig(2), 4)
 				w.warmUp(t)
@@ -199,6 +201,7 @@
 // TestServerColdWithoutWarning checks that a server which turns cold without a
 // restart, and without falling over at once, is found out and warmed up again.
 func TestServerColdWithoutWarning(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := newWorld(seed, testConfig(2), 4)
 		w.warmUp(t)
--- a/core/engine/once_test.go
+++ b/core/engine/once_test.go
@@ -30,6 +30,7 @@
 }
 
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	const key = "order-1"
 	tests := []struct {
 		name string
@@ -142,6 +143,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(3, testConfig(2), 4)
 			w.warmUp(t)
 			if test.fault != nil {
@@ -168,6 +170,7 @@
 }
 
 func TestSameKeyThroughEveryInstanceAtOnce(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		w := newWorld(seed, testConfig(2), 4)
 		w.warmUp(t)
@@ -183,6 +186,7 @@
 }
 
 func TestSameKeyWithAnotherBody(t *testing.T) {
+	t.Parallel()
 	w := newWorld(1, testConfig(2), 2)
 	w.warmUp(t)
 	w.nodes[0].ask(order("order-1"))
@@ -197,6 +201,7 @@
 }
 
 func TestRefusalsAsNotRunAreTrue(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		request event.Request
@@ -247,6 +252,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(5, testConfig(2), 3)
 			w.warmUp(t)
 			if test.fault != nil {
--- a/core/engine/promises_test.go
+++ b/core/engine/promises_test.go
@@ -14,6 +14,7 @@
 // TestOneSnapshotWhileSnapshotsSwitch checks promise 4 while every server switches
 // at its own time, keeping only the last two, and measures the share that completes.
 func TestOneSnapshotWhileSnapshotsSwitch(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := newWorld(seed, testConfig(4), 4)
 		w.warmUp(t)
@@ -37,6 +38,7 @@
 // TestOneSnapshotWhileDataIsRepartitioned checks promises 4 and 5 while the borders
 // of the groups move and servers take the new map at their own times.
 func TestOneSnapshotWhileDataIsRepartitioned(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := newWorld(seed, testConfig(4), 4)
 		w.warmUp(t)
@@ -68,6 +70,7 @@
 
 // TestCoverageNamesWhatIsMissing checks promise 5 for groups that can't answer.
 func TestCoverageNamesWhatIsMissing(t *testing.T) {
+	t.Parallel()
 	group := func(w *world, g int, do func(*fakeServer)) {
 		for r := range 3 {
 			do(w.servers[model.ServerID(fmt.Sprintf("s%d-%d", g, r))])
@@ -114,6 +117,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(1, testConfig(4), 3)
 			w.warmUp(t)
 			test.fault(w)
@@ -136,6 +140,7 @@
 // TestNothingGoesToADataCentreThatIsOut checks promise 7: obeyedWithin after the
 // change was accepted, no instance sends there.
 func TestNothingGoesToADataCentreThatIsOut(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		// fault comes before the change, after right behind it.
@@ -173,6 +178,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(2, testConfig(3), 4)
 			w.warmUp(t)
 			if test.fault != nil {
@@ -210,6 +216,7 @@
 // TestNothingGoesToAServerThatIsLeaving checks promise 8, for each of the ways in
 // which a server's leave shows.
 func TestNothingGoesToAServerThatIsLeaving(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		leave func(w *world, s *fakeServer)
@@ -227,6 +234,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(2, testConfig(2), 4)
 			w.warmUp(t)
 			s := w.servers["s0-1"]
@@ -244,6 +252,7 @@
 // TestConfigurationNeverReverts checks promise 9; the world fails when a version in
 // force goes down.
 func TestConfigurationNeverReverts(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		fault func(w *world)
@@ -284,6 +293,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(4, testConfig(2), 4)
 			w.warmUp(t)
 			test.fault(w)
@@ -302,6 +312,7 @@
 // TestRootWithABadPartIsNotTaken checks that a document which doesn't match its
 // digest is dropped, and the old configuration stays in force.
 func TestRootWithABadPartIsNotTaken(t *testing.T) {
+	t.Parallel()
 	w := newWorld(4, testConfig(2), 2)
 	w.run(2 * time.Second)
 	c := w.config
@@ -330,6 +341,7 @@
 // each server that runs it is stopped, however often and through whichever instance
 // it is sent, and that bystanders are not condemned with it.
 func TestPoisonQueryKillsTwoServersOfAGroupAtMost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := newWorld(seed, testConfig(3), 4)
 		w.warmUp(t)
@@ -360,6 +372,7 @@
 // TestReplayGivesTheSameCommands runs one world twice and compares what its engines
 // commanded, byte for byte.
 func TestReplayGivesTheSameCommands(t *testing.T) {
+	t.Parallel()
 	record := func() []byte {
 		w := newWorld(11, testConfig(3), 3)
 		var log []byte
