--- a/core/limit/state.go
+++ b/core/limit/state.go
@@ -53,15 +53,23 @@
 
 // turnCold puts the server into the cold state of a generation.
 func (s *Server) turnCold(generation uint64) {
+	s.rememberWarm()
 	s.State = Cold
 	s.Generation = generation
 	s.Allowance = 1
 	s.Limit = 1
-	s.Streak, s.Slow, s.Sheds = 0, 0, 0
+	s.Streak, s.Near, s.Slow, s.Sheds = 0, 0, 0, 0
 	s.Latency, s.Base = 0, 0
 	s.Backoff = 0
 }
 
+// rememberWarm keeps the base of a warm server that is about to be so no longer.
+func (s *Server) rememberWarm() {
+	if s.State == Warm && s.Base > 0 {
+		s.WarmBase = s.Base
+	}
+}
+
 // FallBack turns a warm server cold within its boot.
 func (s *Server) FallBack() { s.turnCold(s.Generation + 1) }
 
@@ -71,7 +79,7 @@
 	s.Limit = share
 	// What was measured of the cold server says nothing of the warm one.
 	s.Latency, s.Base = 0, 0
-	s.Streak, s.Slow, s.Sheds = 0, 0, 0
+	s.Streak, s.Near, s.Slow, s.Sheds = 0, 0, 0, 0
 	s.Grants, s.Waiting = nil, nil
 }
 
@@ -101,6 +109,7 @@
 func (s *Server) Lost(now time.Time) {
 	s.SuspectedAt = time.Time{}
 	s.Allowance = 1
+	s.rememberWarm()
 	if s.State != Draining {
 		s.State = Down
 	}
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -93,6 +93,9 @@
 	Latency time.Duration
 	// Base is the recent least time of an answered attempt.
 	Base time.Duration
+	// WarmBase is Base as it was when the server was last warm; zero if this
+	// instance never got an answer from it while it was.
+	WarmBase time.Duration
 	// Recent counts the answers since Fade was last called.
 	Recent int
 	// Slow and Sheds count answers far above Base, and sheds, in a row.
@@ -110,9 +113,11 @@
 	OwnedSince time.Time
 	// Allowance is the number of attempts that the owner lets be in flight in
 	// the whole deployment while the server is cold; Streak counts the answered
-	// ones since it last rose.
+	// ones since it last rose, and Near those in a row that were about as fast as
+	// when the server was warm.
 	Allowance int
 	Streak    int
+	Near      int
 	// Grants are the leaves given to other instances and not yet returned.
 	Grants []GivenGrant
 	// Waiting lists the requests for leave, one per instance, first come first.
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -45,16 +45,16 @@
 	// wantInterval is the least time between two requests for leave.
 	wantInterval = 20 * time.Millisecond
 	// riseAfter is how many answers in a row, per attempt allowed, raise the
-	// allowance when the latency is near that of a warm server.
+	// allowance when the latency is near that of the server when it was warm.
 	riseAfter = 4
-	// riseAnyway is how many raise it when the latency is not near that of a warm
-	// server, or when no server of the group is warm to compare with: the server
-	// may be slower than its group for good, or still as cold as it was.
+	// riseAnyway is how many raise it when the latency is not near that of the
+	// server when it was warm, or when this instance never saw it warm.
 	riseAnyway = 24
-	// nearFactor times a warm server's latency is near it.
-	nearFactor = 2
-	// nearFloor is always near: a difference below it is noise.
-	nearFloor = 5 * time.Millisecond
+	// nearPart is the part of the latency when warm by which one that is near it may
+	// be higher. The way to a distant server is in both, so it has to be small.
+	nearPart = 0.25
+	// nearNoise is a difference that tells nothing.
+	nearNoise = 2 * time.Millisecond
 )
 
 // Sender is what Keeper needs to reach other instances.
@@ -120,7 +120,7 @@
 	owned := k.Owner(s) == k.Self
 	if owned && !s.Owned {
 		s.OwnedSince = now
-		s.Allowance, s.Streak = 1, 0
+		s.Allowance, s.Streak, s.Near = 1, 0, 0
 	}
 	if !owned {
 		s.Grants, s.Waiting = nil, nil
@@ -277,20 +277,20 @@
 // the server has borne its full number of slots and counts as warm.
 func (k *Keeper) count(now time.Time, s *limit.Server, success bool, latency time.Duration) (warmed bool) {
 	if !success {
-		s.Streak = 0
+		s.Streak, s.Near = 0, 0
 		s.Allowance = max(1, s.Allowance-1)
 		return false
 	}
 	s.Streak++
-	enough := riseAnyway * s.Allowance
-	if k.near(s, latency) {
-		enough = riseAfter * s.Allowance
+	s.Near++
+	if !near(s, latency) {
+		s.Near = 0
 	}
-	if s.Streak < enough {
+	if s.Near < riseAfter*s.Allowance && s.Streak < riseAnyway*s.Allowance {
 		k.Serve(now, s)
 		return false
 	}
-	s.Streak = 0
+	s.Streak, s.Near = 0, 0
 	if s.Allowance >= s.Slots {
 		return true
 	}
@@ -299,18 +299,10 @@
 	return false
 }
 
-// near reports whether a latency is near that of the group's fastest warm server.
-// Without one the server's own latency would prove nothing: a cold server is
-// steadily slow.
-func (k *Keeper) near(s *limit.Server, latency time.Duration) bool {
-	var reference time.Duration
-	for _, o := range k.Servers.Group(s.Service, s.Group) {
-		if o.State == limit.Warm && o.Base > 0 && (reference == 0 || o.Base < reference) {
-			reference = o.Base
-		}
-	}
-	if reference == 0 {
-		return false
-	}
-	return latency <= max(nearFactor*reference, nearFloor)
+// near reports whether a latency is near that of the same server when it was warm,
+// as this instance saw it. Other servers may be farther away or nearer, so that
+// comparing with them would prove nothing.
+func near(s *limit.Server, latency time.Duration) bool {
+	more := max(time.Duration(nearPart*float64(s.WarmBase)), nearNoise)
+	return s.WarmBase > 0 && latency <= s.WarmBase+more
 }
