Keep peers' word of servers not yet configured, and of several boots

The check counts from when an instance in touch with its peers was refused, while the status denies the leave; the traces showed instances that were cut off or just started, which nobody could tell.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -31,6 +31,8 @@
 	// isolatedAfter is the time without store and without peers after which this
 	// instance can't know of a data centre that was taken out, and stops.
 	isolatedAfter = 3 * time.Second
+	// maxUnplaced bounds the word that is kept of servers not yet configured.
+	maxUnplaced = 16384
 )
 
 // Engine holds all tables of an instance. It is used from one goroutine.
@@ -59,6 +61,9 @@
 	linked     []model.Instance
 	live       []model.InstanceID
 	notReady   string
+	// unplaced holds peers' word of servers that the configuration in force doesn't
+	// name, at most maxUnplaced.
+	unplaced []event.ServerNews
 }
 
 // Options are the settings of an engine.
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -125,6 +125,7 @@
 	for _, n := range news {
 		b := e.Servers.Get(n.Server)
 		if b == nil {
+			e.keepUnplaced(n)
 			continue
 		}
 		before := b.State
@@ -146,6 +147,14 @@
 	}
 }
 
+// keepUnplaced keeps word of a server that the configuration in force doesn't name:
+// the configuration that names it may be on its way.
+func (e *Engine) keepUnplaced(n event.ServerNews) {
+	if len(e.unplaced) < maxUnplaced {
+		e.unplaced = append(e.unplaced, n)
+	}
+}
+
 // spreadMembers passes on news of membership and recomputes what depends on it.
 func (e *Engine) spreadMembers(now time.Time, from model.InstanceID, fresh []event.MemberNews) {
 	if len(fresh) == 0 {
--- a/core/engine/property_test.go
+++ b/core/engine/property_test.go
@@ -67,8 +67,8 @@
 	{"server cold without restart", func(w *world, pick func(int) int) { w.anyServer(pick).warmth = 0 }},
 	{"server drains and comes back", func(w *world, pick func(int) int) {
 		s := w.anyServer(pick)
-		s.draining, s.lying = true, pick(2) == 0
-		w.after(3*time.Second, func() { s.crash(); s.lying = false })
+		s.draining, s.lying, s.drainingSince = true, pick(2) == 0, w.now
+		w.after(time.Duration(3+pick(8))*time.Second, func() { s.crash(); s.lying = false })
 	}},
 	{"server straggles", func(w *world, pick func(int) int) {
 		s := w.anyServer(pick)
--- a/core/engine/servers_test.go
+++ b/core/engine/servers_test.go
@@ -36,6 +36,10 @@
 	// overloads counts the crashes for more work than a cold server bears.
 	overloads int
 	coldPeak  int
+	// drainingSince is when a drawn fault made the server leave.
+	drainingSince time.Time
+	// toldAt is when an instance in touch with its peers was refused for that.
+	toldAt time.Time
 	// silentDrain is a leave that only the platform's list shows.
 	silentDrain bool
 	// lastArrived is when the last attempt arrived, taken or not.
@@ -89,6 +93,7 @@
 		return
 	}
 	s.lastArrived = s.w.now
+	s.checkLeaving(n)
 	refuse := func(reason event.RefusalReason) {
 		s.w.after(hop, func() {
 			n.end(c, event.AttemptEnded{Kind: event.Refused, Reason: reason, Report: s.report()})
@@ -114,6 +119,32 @@
 	}
 }
 
+// checkLeaving checks promise 8 for an attempt that arrives. While the status denies
+// the leave, the server's refusal of an attempt is the only word of it: the time then
+// counts from the first one that an instance in touch with its peers got. It counts
+// anew for an instance that started, resumed or was joined to its peers again.
+func (s *fakeServer) checkLeaving(n *node) {
+	if !s.draining || s.drainingSince.IsZero() {
+		return
+	}
+	since := s.drainingSince
+	if s.lying {
+		since = s.toldAt
+	}
+	if s.toldAt.Before(s.drainingSince) && !n.cutPeers {
+		s.toldAt = s.w.now
+	}
+	if n.disturbedAt.After(since) {
+		since = n.disturbedAt
+	}
+	if since.Before(s.drainingSince) || n.cutPeers {
+		return
+	}
+	if late := s.w.now.Sub(since); late > obeyedWithin {
+		s.w.fail("promise 8: %s sent to %s, whose leave could be known for %v", n.id, s.ID, late)
+	}
+}
+
 func (s *fakeServer) start(n *node, c event.SendAttempt) {
 	if s.warmth < warmRuns {
 		s.coldPeak = max(s.coldPeak, len(s.inFlight)+1)
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -211,7 +211,10 @@
 	self   model.Instance
 	dead   bool
 	diedAt time.Time
-	frozen bool
+	// disturbedAt is when the node last started, resumed or was joined to its peers
+	// again.
+	disturbedAt time.Time
+	frozen      bool
 	// cutPeers and cutStore are faults of the node's network.
 	cutPeers bool
 	cutStore bool
@@ -240,6 +243,7 @@
 		w: w, id: model.InstanceID(id), links: map[model.InstanceID]*link{},
 		queries: map[event.QueryID]*ask{}, attempts: map[event.AttemptID]model.ServerID{},
 	}
+	n.disturbedAt = w.now
 	n.self = model.Instance{ID: n.id, Incarnation: model.Incarnation(w.now.UnixNano()), Address: id, DataCentre: w.config.DataCentres[0].Name}
 	n.engine = engine.New(w.now, n.self, engine.Options{Query: w.options, PerServer: 6, Seed: w.random.Uint64()})
 	// The settings of an instance name some others, to start from without the store.
@@ -297,6 +301,7 @@
 	n.frozen = true
 	n.w.after(d, func() {
 		n.frozen = false
+		n.disturbedAt = n.w.now
 		n.w.after(0, func() { n.tick() })
 	})
 }
@@ -413,6 +418,7 @@
 
 func (n *node) setCutPeers(cut bool) {
 	n.cutPeers = cut
+	n.disturbedAt = n.w.now
 	if !cut {
 		return
 	}
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// TestWordOfTwoBoots checks that a peer that lags doesn't displace what another said
+// of the server's boot.
+func TestWordOfTwoBoots(t *testing.T) {
+	s := &limit.Server{}
+	s.Apply(event.ServerNews{Server: "s", Boot: "b2", Warmth: event.WarmthDraining})
+	s.Apply(event.ServerNews{Server: "s", Boot: "b1", Warmth: event.WarmthWarm})
+	if s.Seen(event.ServerReport{Boot: "b2"}); s.State != limit.Draining {
+		t.Errorf("got %s, want %s", s.State, limit.Draining)
+	}
+}
+
 func TestDrains(t *testing.T) {
 	s := warmServer()
 	s.StartDrain(limit.DrainByStatus)
--- a/core/limit/state.go
+++ b/core/limit/state.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -9,6 +10,8 @@
 const (
 	firstBackoff = 200 * time.Millisecond
 	lastBackoff  = 2 * time.Second
+	// maxAnnounced is the number of boots that peers' word is kept of.
+	maxAnnounced = 4
 )
 
 // Seen records a report of the server itself, from a reply or a status. It
@@ -28,12 +31,30 @@
 	s.SuspectedAt = time.Time{}
 	s.Drain = 0
 	s.turnCold(0)
-	if s.Announced.Boot == r.Boot {
-		s.Apply(s.Announced)
+	for _, n := range s.Announced {
+		if n.Boot == r.Boot {
+			s.Apply(n)
+		}
 	}
 	return true
 }
 
+// announce keeps word of a boot that the server has not shown here. Boots have no
+// order, so that a peer which lags must not displace what another said of the next.
+func (s *Server) announce(n event.ServerNews) {
+	i := slices.IndexFunc(s.Announced, func(o event.ServerNews) bool { return o.Boot == n.Boot })
+	if i >= 0 {
+		if Supersedes(n, s.Announced[i]) {
+			s.Announced[i] = n
+		}
+		return
+	}
+	s.Announced = append(s.Announced, n)
+	if len(s.Announced) > maxAnnounced {
+		s.Announced = slices.Delete(s.Announced, 0, 1)
+	}
+}
+
 // Suspect notes that the server may have restarted.
 func (s *Server) Suspect(now time.Time) { s.SuspectedAt = now }
 
@@ -155,9 +176,7 @@
 // another boot is kept until the server itself shows that boot.
 func (s *Server) Apply(n event.ServerNews) (changed bool) {
 	if n.Boot != s.Boot {
-		if s.Announced.Boot != n.Boot || Supersedes(n, s.Announced) {
-			s.Announced = n
-		}
+		s.announce(n)
 		return false
 	}
 	if s.Boot == "" || !Supersedes(n, s.News()) || s.State == Down {
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -127,8 +127,9 @@
 	// WantedAt is when this instance last asked the owner for leave.
 	WantedAt time.Time
 
-	// Announced is the latest word from peers on a boot other than Boot.
-	Announced event.ServerNews
+	// Announced is the latest word from peers on boots other than Boot, at most
+	// maxAnnounced of them, the latest last.
+	Announced []event.ServerNews
 	// SuspectInFlight counts attempts of queries that are suspected of crashing
 	// servers; at most 1.
 	SuspectInFlight int
