--- a/core/event/command.go
+++ b/core/event/command.go
@@ -136,7 +136,6 @@
 	RefuseStoreDown       RefusalCode = "store-down"
 	RefuseInProgress      RefusalCode = "in-progress"
 	RefuseKeyReused       RefusalCode = "key-reused"
-	RefuseKeyExpired      RefusalCode = "key-expired"
 	RefuseClaimLogFull    RefusalCode = "claim-log-full"
 	RefuseOutcomeUnknown  RefusalCode = "outcome-unknown"
 	RefuseNothingAnswered RefusalCode = "nothing-answered"
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -38,7 +38,7 @@
 	Reply string `json:"reply,omitempty"`
 	// LateMs delays replies after the run, in milliseconds.
 	LateMs int `json:"late-ms,omitempty"`
-	// Status makes the status endpoint silent.
+	// StatusSilent makes the status endpoint give no answer.
 	StatusSilent bool `json:"status-silent,omitempty"`
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -220,7 +220,7 @@
 		return http.StatusNotFound
 	case event.RefuseInProgress:
 		return http.StatusConflict
-	case event.RefusePoison, event.RefuseKeyReused, event.RefuseKeyExpired:
+	case event.RefusePoison, event.RefuseKeyReused:
 		return http.StatusUnprocessableEntity
 	case event.RefuseDeadline:
 		return http.StatusGatewayTimeout
