--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -199,9 +199,10 @@
 	}
 }
 
-// arrive admits a request unless this instance takes no work.
+// arrive admits a request unless this instance can't serve it well. A leaving
+// instance still serves what the balancer sends it.
 func (e *Engine) arrive(now time.Time, v event.QueryArrived) {
-	if why := e.NotReady(now); why != "" && !e.leaving {
+	if why := e.unfit(now); why != "" {
 		e.Emit(event.Refuse{
 			Query: v.Query, Class: v.Request.Class, Code: event.RefuseNotReady, Outcome: event.OutcomeNotRun,
 			Detail: why, RetryAfter: time.Second,
@@ -211,12 +212,17 @@
 	e.Queries.Arrive(now, v.Query, v.Request)
 }
 
-// NotReady returns why this instance should get no new requests, or "". A leaving
-// instance still serves what the balancer sends it.
+// NotReady returns why the balancer should send no new requests here, or "".
 func (e *Engine) NotReady(now time.Time) string {
-	switch {
-	case e.leaving:
+	if e.leaving {
 		return "this instance is leaving"
+	}
+	return e.unfit(now)
+}
+
+// unfit returns why this instance must not take a request, or "".
+func (e *Engine) unfit(now time.Time) string {
+	switch {
 	case e.config.inForce.Version == 0:
 		return "no configuration yet: neither the store nor a peer has given one"
 	case e.Isolated(now):
--- a/core/engine/once_test.go
+++ b/core/engine/once_test.go
@@ -241,6 +241,15 @@
 				w.run(5 * time.Second)
 			},
 		},
+		{
+			name: "leaving, and cut off from store and peers", request: lookup(), code: event.RefuseNotReady,
+			fault: func(w *world) {
+				w.nodes[0].post(event.ShutdownBegun{})
+				w.nodes[0].cutStore = true
+				w.nodes[0].setCutPeers(true)
+				w.run(5 * time.Second)
+			},
+		},
 		{
 			name: "overload", request: lookup(), code: event.RefuseOverload,
 			fault: func(w *world) {
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -58,8 +58,7 @@
 }
 
 // cannotPlace settles a leg that no server of its group can take: the query
-// starts again on a newer snapshot, every server is tried once more after sheds,
-// or the group is missing.
+// starts again on another plan, or the group is missing.
 func (s *System) cannotPlace(now time.Time, q *Query, leg int, reason event.MissingReason) {
 	if reason == event.MissingSnapshot || reason == event.MissingEpoch {
 		if s.restart(now, q) {
