Don't recompute owners when a server turns cold; drop an unused field

Found by reading the change. Ownership follows the members and the configuration and is kept for every row whatever its state, so recomputing all rows whenever one server turned cold did nothing: with a data centre of cold servers, that is servers squared. Also gone: a second mark of the same group in Warmed, and the engine's start time, which nothing read.

--- a/core/engine/config.go
+++ b/core/engine/config.go
@@ -90,7 +90,7 @@
 	e.Queries.Configure(h.inForce)
 	unplaced := e.unplaced
 	e.unplaced = nil
-	e.serversTold(e.lastTick, "", unplaced)
+	e.serversTold("", unplaced)
 	e.Emit(event.ConfigInForce{Config: c})
 	e.Emit(event.StateChanged{Kind: "configuration", Name: c.Change, To: "in-force", Why: "accepted by the store"})
 	e.broadcastBut(h.from, event.Message{Root: &event.RootNews{Root: h.root}})
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -50,7 +50,6 @@
 
 	lastTick  time.Time
 	upkeepAt  time.Time
-	startedAt time.Time
 	storeAt   time.Time
 	storeDown bool
 	// listed is the platform's list as last read, or as a peer told it at the start
@@ -79,7 +78,7 @@
 func New(now time.Time, self model.Instance, o Options) *Engine {
 	e := &Engine{
 		Self: self, Servers: &limit.Table{PerServer: o.PerServer}, Suspects: &poison.Table{},
-		Members: member.New(now, self), startedAt: now, lastTick: now, storeAt: now,
+		Members: member.New(now, self), lastTick: now, storeAt: now,
 	}
 	e.Warm = &warm.Keeper{Self: self.ID, Servers: e.Servers, Peers: e, LeaseEnds: e.leaseEnds}
 	e.Claims = claim.NewBook(self, e)
@@ -175,7 +174,7 @@
 	case event.StatusSeen:
 		e.statusSeen(now, v)
 	case event.PlatformListed:
-		e.platformListed(now, v)
+		e.platformListed(v)
 	case event.StoreDone:
 		e.storeSeen(v.Result != event.StoreUnknown)
 		e.Claims.StoreDone(now, v)
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -64,7 +64,7 @@
 	case m.Part != nil:
 		e.partSeen(*m.Part)
 	case m.Servers != nil:
-		e.serversTold(now, from, m.Servers.News)
+		e.serversTold(from, m.Servers.News)
 	case m.Want != nil:
 		e.Warm.Wanted(now, from, *m.Want)
 	case m.Grant != nil:
@@ -120,7 +120,7 @@
 }
 
 // serversTold takes in peers' word on servers and passes on what was new.
-func (e *Engine) serversTold(now time.Time, from model.InstanceID, news []event.ServerNews) {
+func (e *Engine) serversTold(from model.InstanceID, news []event.ServerNews) {
 	var fresh []event.ServerNews
 	for _, n := range news {
 		b := e.Servers.Get(n.Server)
@@ -140,7 +140,7 @@
 			b.Limit = e.Queries.Share(b)
 		}
 		fresh = append(fresh, n)
-		e.noteServer(now, b, before, "word of "+string(from))
+		e.noteServer(b, before, "word of "+string(from))
 	}
 	if len(fresh) > 0 {
 		e.broadcastBut(from, event.Message{Servers: &event.Servers{News: fresh}})
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -110,7 +110,7 @@
 		if b.State == limit.Down || (b.Unverified() && !v.AskedAt.Before(b.SuspectedAt)) {
 			b.Lost(now)
 		}
-		e.noteServer(now, b, before, "status unreachable")
+		e.noteServer(b, before, "status unreachable")
 		return
 	}
 	if !b.Seen(v.Report) {
@@ -125,23 +125,21 @@
 	default:
 		b.EndDrain(limit.DrainByStatus)
 	}
-	e.noteServer(now, b, before, "status")
+	e.noteServer(b, before, "status")
 }
 
-// noteServer reports a change of a server's state and recomputes who owns it.
-func (e *Engine) noteServer(now time.Time, b *limit.Server, before limit.State, why string) {
+// noteServer reports a change of a server's state. Who owns the server doesn't depend
+// on its state.
+func (e *Engine) noteServer(b *limit.Server, before limit.State, why string) {
 	if b.State == before {
 		return
 	}
-	if b.State == limit.Cold {
-		e.Warm.Members(now, e.live)
-	}
 	e.Emit(event.StateChanged{Kind: "server", Name: string(b.ID), From: before.String(), To: b.State.String(), Why: why})
 	e.Queries.ServerChanged(b)
 }
 
 // platformListed takes in the platform's list.
-func (e *Engine) platformListed(now time.Time, v event.PlatformListed) {
+func (e *Engine) platformListed(v event.PlatformListed) {
 	e.listed = v.Instances
 	e.Members.Listed(v.Instances)
 	for _, l := range v.Servers {
@@ -155,6 +153,6 @@
 		} else {
 			b.EndDrain(limit.DrainByPlatform)
 		}
-		e.noteServer(now, b, before, "platform list")
+		e.noteServer(b, before, "platform list")
 	}
 }
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -120,7 +120,6 @@
 	b.TurnWarm(s.Share(b))
 	s.changed(b, "bore its full load")
 	s.tell(b)
-	s.ServerChanged(b)
 }
 
 func (s *System) drain(b *limit.Server) {
