Serve routed requests from a directory: routes, discovered servers, gather and merge

The users' platform speaks plain HTTP with routes and discovered servers; the product knew declared services and JSON queries only. New: core/relay (routed requests), core/roster (discovered servers), core/merge, core/timer (shared with core/query), io/pass (HTTP as it came), io/feed (following a directory) and platform/ (translation).

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -19,6 +19,8 @@
 	"hyssoppitch/core/model"
 	"hyssoppitch/core/poison"
 	"hyssoppitch/core/query"
+	"hyssoppitch/core/relay"
+	"hyssoppitch/core/roster"
 	"hyssoppitch/core/warm"
 )
 
@@ -44,6 +46,10 @@
 	Claims   *claim.Book
 	Queries  *query.System
 	Members  *member.View
+	// Roster and Relay serve routed requests. Relay is nil on an instance that serves
+	// the services of a declared configuration instead.
+	Roster *roster.Table
+	Relay  *relay.System
 
 	commands []event.Command
 	config   holder
@@ -70,6 +76,8 @@
 	Query query.Options
 	// PerServer is the most connections to one backend server.
 	PerServer int
+	// Relay makes the instance serve routed requests; nil for declared services.
+	Relay *relay.Options
 	// Seed makes random choices repeatable.
 	Seed uint64
 }
@@ -87,6 +95,14 @@
 		Claims: e.Claims, Out: e, Peers: e, Rand: rand.New(rand.NewPCG(o.Seed, uint64(self.Incarnation))),
 	}
 	e.Queries.Init()
+	if o.Relay != nil {
+		e.Roster = roster.New()
+		e.Relay = &relay.System{
+			Self: self, Options: *o.Relay, Servers: e.Roster, Out: e,
+			Rand: rand.New(rand.NewPCG(o.Seed+1, uint64(self.Incarnation))),
+		}
+		e.Relay.Init()
+	}
 	e.config.inForce = &model.Config{}
 	e.config.parts = map[conf.Digest][]byte{}
 	e.viewChanged(now)
@@ -132,6 +148,10 @@
 	claimsDue := e.Claims.Tick(now)
 	e.Queries.Run(now)
 	due = earliest(e.upkeepAt, claimsDue, e.Queries.Due())
+	if e.Relay != nil {
+		e.Relay.Run(now)
+		due = earliest(due, e.Relay.Due())
+	}
 	commands = e.commands
 	e.commands = nil
 	return commands, due
@@ -195,6 +215,16 @@
 		e.partSeen(v)
 	case event.ShutdownBegun:
 		e.leaving = true
+	case event.RoutedArrived:
+		e.Relay.Arrive(now, v.Request)
+	case event.RoutedGone:
+		e.Relay.Abandon(now, v.Query)
+	case event.ExchangeEnded:
+		e.Relay.Ended(now, v)
+	case event.DirectorySeen:
+		e.directorySeen(now, v)
+	case event.DirectoryLost:
+		e.directoryLost(v)
 	}
 }
 
@@ -221,6 +251,9 @@
 
 // unfit returns why this instance must not take a request, or "".
 func (e *Engine) unfit(now time.Time) string {
+	if e.Relay != nil {
+		return e.unfitToRelay()
+	}
 	switch {
 	case e.config.inForce.Version == 0:
 		return "no configuration yet: neither the store nor a peer has given one"
@@ -289,3 +322,12 @@
 
 // Leaving reports whether this instance is leaving.
 func (e *Engine) Leaving() bool { return e.leaving }
+
+// InFlight returns the number of requests and records that shutdown waits for.
+func (e *Engine) InFlight() int {
+	open := e.Queries.InFlight() + e.Claims.Unsettled()
+	if e.Relay != nil {
+		open += e.Relay.InFlight()
+	}
+	return open
+}
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -176,6 +176,9 @@
 	e.live = live
 	e.Warm.Members(now, live)
 	e.Queries.Instances(len(live))
+	if e.Relay != nil {
+		e.Relay.Instances(live)
+	}
 }
 
 // Leave announces that this instance is gone: its requests are finished.
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -30,7 +30,9 @@
 	if e.config.next.Version != 0 {
 		e.fetchNext()
 	}
-	if e.config.inForce.Version == 0 {
+	if e.Roster != nil {
+		e.emitChanges(e.Roster.Tick(now))
+	} else if e.config.inForce.Version == 0 {
 		e.Broadcast(event.Message{GetRoot: &event.GetRoot{}})
 	}
 	e.noteReady(now)
--- /dev/null
+++ b/core/event/relay.go
@@ -0,0 +1,188 @@
+package event
+
+import (
+	"time"
+
+	"hyssoppitch/core/model"
+)
+
+// RoutedRequest is a request that is passed on to backend servers as it came. Its
+// bytes stay with the package that read it, under the query's ID.
+type RoutedRequest struct {
+	Query QueryID
+	// Name is the caller's name for the request, for logs.
+	Name string
+	Host string
+	// Path is without the query part.
+	Path string
+	// Patience is how long the caller waits; zero means that it did not say.
+	Patience time.Duration
+	// Fingerprint is equal for two requests with the same method, target, caller and
+	// body.
+	Fingerprint model.Fingerprint
+}
+
+// Reply is the whole reply of one backend server to one exchange.
+type Reply struct {
+	Status int
+	// Fields are the headers that are passed on with the reply.
+	Fields []Field
+	// Stamp is the server's signature under its reply.
+	Stamp string
+	Body  []byte
+}
+
+// Field is one header of a reply.
+type Field struct{ Name, Value string }
+
+// Success reports whether the reply has a success status.
+func (r *Reply) Success() bool { return r.Status >= 200 && r.Status < 300 }
+
+// SendExchange asks for a request to be passed on to one backend server.
+type SendExchange struct {
+	Attempt AttemptID
+	// Name is the caller's name for the request.
+	Name    string
+	Server  model.ServerID
+	Address string
+	// Connections is the most connections that this instance opens to the server.
+	Connections int
+	// FreshConnection forbids a kept connection that has been idle for long: the
+	// request can't be repeated.
+	FreshConnection bool
+	// Deadline is the time after which no reply is waited for.
+	Deadline time.Time
+}
+
+// CancelExchange says that the reply of an exchange is no longer wanted.
+type CancelExchange struct{ Attempt AttemptID }
+
+// ExchangeEnded reports the end of an exchange. There is exactly one for each
+// SendExchange.
+type ExchangeEnded struct {
+	Attempt AttemptID
+	Server  model.ServerID
+	// Kind is Answered for a whole reply that the server signed, whatever its status.
+	Kind   ResultKind
+	Reason RefusalReason
+	// Reply is set when Kind is Answered.
+	Reply *Reply
+	// Detail says what went wrong, for logs.
+	Detail string
+}
+
+// RoutedAnswer gives a routed request its answer. Exactly one of Relayed and
+// Merged is set.
+type RoutedAnswer struct {
+	Query QueryID
+	// Relayed is the reply that is passed on as it came.
+	Relayed *Reply
+	// Merged is set when the answer was merged from several parts.
+	Merged *MergedAnswer
+}
+
+// MergedAnswer is an answer made of the parts of several groups.
+type MergedAnswer struct {
+	Stamps []string
+	// Missing is the number of groups that are left out.
+	Missing int
+	Body    []byte
+}
+
+// RoutedRefusal gives a routed request an answer of this instance.
+type RoutedRefusal struct {
+	Query   QueryID
+	Code    RefusalCode
+	Outcome Outcome
+	Detail  string
+	// RetryAfter is when to try again; zero means that it would not help.
+	RetryAfter time.Duration
+}
+
+// Step is one decision on a request.
+type Step struct {
+	// At is counted from the arrival of the request.
+	At time.Duration
+	// What names the decision.
+	What string
+	// Server and Group are set for decisions on one attempt.
+	Server model.ServerID
+	Group  string
+	// Expected is the time to an answer that the decision was based on; zero when it
+	// played no part.
+	Expected time.Duration
+	// Why gives the cause or the further inputs.
+	Why string
+}
+
+// RequestTold asks for log lines on a request that has ended.
+type RequestTold struct {
+	Query QueryID
+	Name  string
+	// Route and Version are those that the request was served by.
+	Route   string
+	Version uint64
+	// Outcome is what the caller was told.
+	Outcome string
+	// Weight says how much the request matters to those who read logs.
+	Weight LogWeight
+	// Elapsed is from the arrival to the answer.
+	Elapsed time.Duration
+	Steps   []Step
+}
+
+// LogWeight says how a request ended for its caller.
+type LogWeight int
+
+// The weights of requests in logs.
+const (
+	// LogOrdinary requests were answered in full and in time.
+	LogOrdinary LogWeight = iota
+	// LogImpaired requests were answered late or without some groups.
+	LogImpaired
+	// LogFailed requests got no answer.
+	LogFailed
+)
+
+// DirectoryChange is one change of the directory. Exactly one field but Key is set;
+// Key alone means that the entry is gone or can't be read.
+type DirectoryChange struct {
+	// Key identifies the entry.
+	Key     string
+	Routing *model.RoutingTable
+	Server  *model.Registration
+	// Evacuated is a data centre that is to get no work.
+	Evacuated string
+	// Problem says why the entry can't be read.
+	Problem string
+}
+
+// DirectorySeen reports changes of the directory.
+type DirectorySeen struct {
+	Changes []DirectoryChange
+	// Whole is set when Changes is all that the directory holds.
+	Whole bool
+	// AskedAt is when the call began.
+	AskedAt time.Time
+}
+
+// DirectoryLost reports that the directory gave no answer.
+type DirectoryLost struct{ Why string }
+
+// RoutedArrived reports a routed request.
+type RoutedArrived struct{ Request RoutedRequest }
+
+// RoutedGone reports that nobody waits for a routed request any more.
+type RoutedGone struct{ Query QueryID }
+
+func (RoutedArrived) isEvent() {}
+func (RoutedGone) isEvent()    {}
+func (ExchangeEnded) isEvent() {}
+func (DirectorySeen) isEvent() {}
+func (DirectoryLost) isEvent() {}
+
+func (SendExchange) isCommand()   {}
+func (CancelExchange) isCommand() {}
+func (RoutedAnswer) isCommand()   {}
+func (RoutedRefusal) isCommand()  {}
+func (RequestTold) isCommand()    {}
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -35,13 +35,13 @@
 		return
 	}
 	s.queries[id] = q
-	s.setTimer(timer{at: q.AnswerBy, kind: timerAnswer, query: id})
+	s.setTimer(due{at: q.AnswerBy, kind: timerAnswer, query: id})
 	if q.Class.NonIdempotent {
 		s.claim(now, q)
 		return
 	}
 	if q.Class.Patience > 0 {
-		s.setTimer(timer{at: now.Add(time.Duration(q.Class.Patience)), kind: timerPatience, query: id})
+		s.setTimer(due{at: now.Add(time.Duration(q.Class.Patience)), kind: timerPatience, query: id})
 	}
 	s.start(now, q)
 }
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -134,7 +134,7 @@
 		return
 	}
 	g.kickAt = now.Add(leaveRetry)
-	s.setTimer(timer{at: g.kickAt, kind: timerKick, group: g})
+	s.setTimer(due{at: g.kickAt, kind: timerKick, group: g})
 }
 
 // warmBeside sends a copy of a leg to a cold server of the group that this
@@ -227,7 +227,7 @@
 	wait := max(s.group(key).tail.hedgeAfter(), time.Duration(distantFactor*float64(b.Base)))
 	at := now.Add(wait)
 	if at.Before(q.AnswerBy) {
-		s.setTimer(timer{at: at, kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
+		s.setTimer(due{at: at, kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
 	}
 }
 
@@ -241,7 +241,7 @@
 	b := s.choose(now, q, l, false)
 	if b == nil || b.State != limit.Warm {
 		// No server has room now; one may have soon.
-		s.setTimer(timer{at: now.Add(hedgeRetry), kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
+		s.setTimer(due{at: now.Add(hedgeRetry), kind: timerHedge, query: q.ID, leg: leg, round: q.Round})
 		return
 	}
 	if now.Add(b.Expected()).After(q.AnswerBy) {
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -31,7 +31,7 @@
 	s.judge(now, a, e)
 	s.settleAttempt(now, a, e)
 	if now.Before(a.HoldUntil) {
-		s.setTimer(timer{at: a.HoldUntil, kind: timerRelease, attempt: a.ID})
+		s.setTimer(due{at: a.HoldUntil, kind: timerRelease, attempt: a.ID})
 		return
 	}
 	s.release(a)
@@ -248,7 +248,7 @@
 		l.Rounds++
 		l.Tried = l.Tried[:0]
 		pause := shedPause + time.Duration(s.Rand.Int64N(int64(shedPause)))
-		s.setTimer(timer{at: now.Add(pause), kind: timerRequeue, query: q.ID, leg: leg, round: q.Round})
+		s.setTimer(due{at: now.Add(pause), kind: timerRequeue, query: q.ID, leg: leg, round: q.Round})
 		return
 	}
 	s.enqueue(q, leg)
--- a/core/query/system.go
+++ b/core/query/system.go
@@ -9,6 +9,7 @@
 	"hyssoppitch/core/limit"
 	"hyssoppitch/core/model"
 	"hyssoppitch/core/poison"
+	"hyssoppitch/core/timer"
 	"hyssoppitch/core/warm"
 )
 
@@ -55,11 +56,10 @@
 	attempts map[event.AttemptID]*Attempt
 	groups   map[limit.GroupKey]*groupState
 	// dirty lists the groups whose waiting legs may move, in order.
-	dirty      []*groupState
-	timers     timerHeap
-	timerOrder uint64
-	hedges     budget
-	extras     budget
+	dirty  []*groupState
+	timers timer.Queue[due]
+	hedges budget
+	extras budget
 
 	snapshotCounts []snapshotCount
 }
@@ -132,8 +132,5 @@
 // Due returns when Run has something to do without another event, or the zero
 // time.
 func (s *System) Due() time.Time {
-	if len(s.timers) == 0 {
-		return time.Time{}
-	}
-	return s.timers[0].at
+	return s.timers.Due()
 }
--- a/core/query/timer.go
+++ b/core/query/timer.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"container/heap"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -19,9 +18,9 @@
 	timerKick
 )
 
-// timer is one due time. Its target may be gone or have moved on when it fires:
-// the handler checks.
-type timer struct {
+// due is one due time. Its target may be gone or have moved on when it comes: the
+// handler checks.
+type due struct {
 	at      time.Time
 	kind    timerKind
 	query   event.QueryID
@@ -29,49 +28,22 @@
 	round   int
 	attempt event.AttemptID
 	group   *groupState
-	// order makes timers of one moment fire in the order they were set.
-	order uint64
 }
 
-// timerHeap orders timers by due time; it implements heap.Interface.
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].order < h[j].order
-	}
-	return h[i].at.Before(h[j].at)
-}
-
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	last := len(*h) - 1
-	t := (*h)[last]
-	*h = (*h)[:last]
-	return t
-}
-
-func (s *System) setTimer(t timer) {
-	s.timerOrder++
-	t.order = s.timerOrder
-	heap.Push(&s.timers, t)
-}
+func (s *System) setTimer(d due) { s.timers.Set(d.at, d) }
 
 // fireTimers handles the timers that are due.
 func (s *System) fireTimers(now time.Time) {
-	for len(s.timers) > 0 && !s.timers[0].at.After(now) {
-		s.fire(now, heap.Pop(&s.timers).(timer))
+	for {
+		d, ok := s.timers.Pop(now)
+		if !ok {
+			return
+		}
+		s.fire(now, d)
 	}
 }
 
-func (s *System) fire(now time.Time, t timer) {
+func (s *System) fire(now time.Time, t due) {
 	switch t.kind {
 	case timerRelease:
 		s.release(s.attempts[t.attempt])
--- /dev/null
+++ b/core/relay/arrive.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+const (
+	// wayBack is taken off the caller's time for the way of the answer.
+	wayBack = 10 * time.Millisecond
+	// wayOut is taken off a route's target for the opening of the caller's connection
+	// and the way of the request and its answer.
+	wayOut = 10 * time.Millisecond
+	// leastTime is the shortest time in which an answer is tried for.
+	leastTime = 5 * time.Millisecond
+	// longestTime bounds a request that gives no time and whose route has no timeout.
+	longestTime = time.Minute
+	// retrySoon is the Retry-After for what passes within moments, such as a full
+	// server; retryLater for what takes longer, such as a group without servers.
+	retrySoon  = 150 * time.Millisecond
+	retryLater = 400 * time.Millisecond
+)
+
+// Arrive admits a request, or refuses it before anything is sent.
+func (s *System) Arrive(now time.Time, r event.RoutedRequest) {
+	s.Counters.Arrived++
+	q := &Request{RoutedRequest: r, ArrivedAt: now, Version: s.table.Version}
+	if !s.Servers.Heard() || s.table.Version == 0 {
+		s.refuse(now, q, event.RefuseNotReady, retryLater, "the directory has not been read yet")
+		return
+	}
+	q.Route = s.table.Match(r.Host, r.Path)
+	if q.Route == nil {
+		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
+		return
+	}
+	q.AnswerBy = now.Add(s.timeFor(q) - wayBack)
+	s.plan(q)
+	if lost, retry := s.hopeless(now, q); lost != "" {
+		s.refuse(now, q, event.RefuseNoReplica, retry, lost)
+		return
+	}
+	s.requests[r.Query] = q
+	q.note(now, event.Step{What: "admitted", Why: fmt.Sprintf("%d groups", len(q.Legs))})
+	s.timers.Set(q.AnswerBy, due{kind: dueAnswer, request: r.Query})
+	if q.gathers() && q.Route.Target > 0 {
+		s.timers.Set(now.Add(max(leastTime, q.Route.Target-wayOut)), due{kind: duePatience, request: r.Query})
+	}
+	for i := range q.Legs {
+		s.begin(now, q, i)
+	}
+}
+
+// timeFor returns how long the caller is kept waiting at most.
+func (s *System) timeFor(q *Request) time.Duration {
+	d := longestTime
+	if q.Patience > 0 {
+		d = min(d, q.Patience)
+	}
+	if q.Route.Timeout > 0 {
+		d = min(d, q.Route.Timeout)
+	}
+	return max(d, wayBack+leastTime)
+}
+
+// plan makes the legs of a request.
+func (s *System) plan(q *Request) {
+	if !q.gathers() {
+		q.Legs = []Leg{{Group: s.deal(q.Route)}}
+	} else {
+		q.Legs = make([]Leg, len(q.Route.Gather))
+		for i, group := range q.Route.Gather {
+			q.Legs[i].Group = group
+		}
+	}
+	q.Open = len(q.Legs)
+}
+
+// hopeless returns why a request can't be served, or "": too many of its groups have
+// no server that may get work.
+func (s *System) hopeless(now time.Time, q *Request) (why string, retry time.Duration) {
+	var served int
+	empty := ""
+	for i := range q.Legs {
+		if s.served(now, q, &q.Legs[i]) {
+			served++
+		} else {
+			empty = q.Legs[i].Group
+		}
+	}
+	if served == 0 || !enough(q.Route, served, len(q.Legs)) {
+		return fmt.Sprintf("%d of %d groups have a server that may get work; group %q has none", served, len(q.Legs), empty), retryLater
+	}
+	return "", 0
+}
+
+// served reports whether some server of a leg's group may get the request now or
+// soon.
+func (s *System) served(now time.Time, q *Request, l *Leg) bool {
+	for _, b := range s.Servers.Group(l.Group) {
+		if s.permitted(q.Route, b) && !now.Before(b.DownUntil) {
+			return true
+		}
+	}
+	// Servers that can't be reached are tried again sooner than the caller's next try.
+	for _, b := range s.Servers.Group(l.Group) {
+		if s.permitted(q.Route, b) && b.DownUntil.Sub(now) < retrySoon {
+			return true
+		}
+	}
+	return false
+}
+
+// enough reports whether a number of answered groups makes an answer.
+func enough(r *model.Route, answered, asked int) bool {
+	return answered > 0 && float64(answered) >= r.LeastCoverage*float64(asked)-coverageSlack
+}
+
+// coverageSlack absorbs the rounding of a fraction.
+const coverageSlack = 1e-9
--- /dev/null
+++ b/core/relay/place.go
@@ -0,0 +1,127 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+	"hyssoppitch/core/roster"
+)
+
+const (
+	// connectionPart is the part of a server's connections that the instances use
+	// together; the rest is left to those that come and go.
+	connectionPart = 0.9
+	// unlimitedConnections stands for a server without a bound.
+	unlimitedConnections = 64
+	// maxExchanges bounds the attempts of one leg, refused ones included.
+	maxExchanges = 6
+)
+
+// attemptKind says why an attempt is sent.
+type attemptKind int
+
+const (
+	firstAttempt attemptKind = iota
+	retryAttempt
+	hedgeAttempt
+)
+
+// permitted reports whether a server may get a route's requests at all.
+func (s *System) permitted(r *model.Route, b *roster.Server) bool {
+	if !s.Servers.Usable(b) {
+		return false
+	}
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, s.Options.Regions[b.DataCentre])
+}
+
+// connections returns the most connections that this instance opens to a server.
+func (s *System) connections(group string) int {
+	most := s.table.Pool(group).Connections
+	if most == 0 {
+		return unlimitedConnections
+	}
+	return max(1, int(connectionPart*float64(most)/float64(s.instances)))
+}
+
+// choose returns the server for a leg's next attempt, or nil when none can take it
+// now. A server that the leg has tried is chosen only if again is set.
+func (s *System) choose(now time.Time, q *Request, l *Leg, again bool) (best *roster.Server) {
+	room := s.connections(l.Group)
+	var least time.Duration
+	for _, b := range s.Servers.Group(l.Group) {
+		if !s.permitted(q.Route, b) || b.InFlight >= room || (!again && l.tried(b.ID)) || !s.bearable(now, b) {
+			continue
+		}
+		if cost := s.cost(now, q.Route, b); best == nil || cost < least {
+			best, least = b, cost
+		}
+	}
+	return best
+}
+
+// begin sends the first attempt of a leg.
+func (s *System) begin(now time.Time, q *Request, leg int) {
+	l := &q.Legs[leg]
+	s.earn(now, l.Group)
+	b := s.choose(now, q, l, false)
+	if b == nil {
+		s.await(now, q, leg, "no server has room")
+		return
+	}
+	s.send(now, q, leg, b, firstAttempt)
+}
+
+// send sends one attempt.
+func (s *System) send(now time.Time, q *Request, leg int, b *roster.Server, kind attemptKind) {
+	l := &q.Legs[leg]
+	q.Attempts++
+	a := &Attempt{
+		ID: event.AttemptID{
+			Instance: s.Self.ID, Incarnation: s.Self.Incarnation, Query: q.Query, Leg: leg, Number: q.Attempts,
+		},
+		Server: b, Leg: leg, SentAt: now, Usual: s.usual(q.Route.Name, b.DataCentre), Route: q.Route.Name,
+	}
+	l.Sent = append(l.Sent, a)
+	l.Running++
+	b.InFlight++
+	s.attempts[a.ID] = a
+	s.tap(now, b)
+	what := s.countSent(now, l.Group, kind)
+	expected := s.expected(now, q.Route, b)
+	q.note(now, event.Step{What: what, Server: b.ID, Group: l.Group, Expected: expected})
+	s.Out.Emit(event.SendExchange{
+		Attempt: a.ID, Name: q.Name, Server: b.ID, Address: b.Address,
+		Connections: s.connections(l.Group), FreshConnection: !q.Route.Idempotent, Deadline: q.AnswerBy,
+	})
+	if at := now.Add(hedgeAfter(expected)); at.Before(q.AnswerBy) {
+		s.timers.Set(at, due{kind: dueHedge, request: q.Query, leg: leg, attempt: a.ID})
+	}
+}
+
+// countSent counts an attempt and returns its name in logs.
+func (s *System) countSent(now time.Time, group string, kind attemptKind) string {
+	switch kind {
+	case retryAttempt:
+		s.Counters.AttemptsRetry++
+		s.spend(now, group)
+		return "retried"
+	case hedgeAttempt:
+		s.Counters.AttemptsHedge++
+		s.spend(now, group)
+		return "hedged"
+	default:
+		s.Counters.AttemptsFirst++
+		return "sent"
+	}
+}
+
+// cancel ends an exchange whose reply is no longer wanted.
+func (s *System) cancel(a *Attempt) {
+	if a.Ended || a.Cancelled {
+		return
+	}
+	a.Cancelled = true
+	s.Out.Emit(event.CancelExchange{Attempt: a.ID})
+}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -10,6 +10,7 @@
 
 	"hyssoppitch/io/node"
 	"hyssoppitch/io/setup"
+	"hyssoppitch/platform"
 )
 
 // ServeCmd runs an instance.
@@ -18,6 +19,9 @@
 	Check    bool   `help:"Check the settings and exit."`
 }
 
+// logQueue is the number of log lines that wait to be written; more are dropped.
+const logQueue = 4096
+
 // Run implements the command. Settings are checked before any port is opened.
 func (c *ServeCmd) Run(s *streams) error {
 	settings, err := setup.Load(c.Settings)
@@ -30,7 +34,15 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	n, err := node.New(settings, node.Parts{Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: s.err}}})
+	logs := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: s.out}}
+	defer func() { _ = logs.Close() }()
+	parts := node.Parts{Log: &log.Logger{Level: log.InfoLevel, Writer: logs}}
+	if settings.Routed.Enabled {
+		directory := platform.NewDirectory(settings.Store)
+		defer directory.Close()
+		parts.Platform = &node.Platform{Directory: directory, Names: platform.Headers()}
+	}
+	n, err := node.New(settings, parts)
 	if err != nil {
 		return err
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -98,11 +98,23 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathQuery+"{service}", func(w http.ResponseWriter, r *http.Request) { query(a, w, r) })
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) { ready(a, w) })
+	mux.Handle("GET "+PathReady, Ready(a))
 	return mux
 }
 
-func ready(a Asker, w http.ResponseWriter) {
+// Readier tells whether an instance is ready.
+type Readier interface {
+	// NotReady returns why no new requests should be sent here, or "".
+	NotReady() string
+}
+
+// Ready returns the interface to the balancer, for a listener of its own. It answers
+// on any path.
+func Ready(a Readier) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { ready(a, w) })
+}
+
+func ready(a Readier, w http.ResponseWriter) {
 	if why := a.NotReady(); why != "" {
 		http.Error(w, why, http.StatusServiceUnavailable)
 		return
--- a/io/node/carry.go
+++ b/io/node/carry.go
@@ -52,6 +52,16 @@
 		n.allowClasses(c.Config)
 	case event.StateChanged:
 		n.logChange(c)
+	case event.SendExchange:
+		n.routed.send(c)
+	case event.CancelExchange:
+		n.routed.back.Cancel(c.Attempt)
+	case event.RoutedAnswer:
+		n.routed.reply(c.Query, c)
+	case event.RoutedRefusal:
+		n.routed.reply(c.Query, c)
+	case event.RequestTold:
+		n.routed.tell(c)
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,7 +18,10 @@
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
 	"hyssoppitch/core/query"
+	"hyssoppitch/core/relay"
 	"hyssoppitch/io/back"
+	"hyssoppitch/io/feed"
+	"hyssoppitch/io/pass"
 	"hyssoppitch/io/peer"
 	"hyssoppitch/io/setup"
 	"hyssoppitch/io/stats"
@@ -74,6 +77,8 @@
 	store    Store
 	peers    *peer.Hub
 	stats    *stats.Set
+	// routed is nil on an instance that serves declared services.
+	routed *routed
 
 	inbox chan event.Event
 	// views holds functions that read the engine's tables between two ticks.
@@ -91,6 +96,8 @@
 
 	listener net.Listener
 	control  net.Listener
+	// ready is nil when readiness is asked for on the callers' listener.
+	ready net.Listener
 }
 
 // waiter is a request that waits for its answer.
@@ -109,6 +116,15 @@
 	// Listener and Control take the place of the addresses in the settings.
 	Listener net.Listener
 	Control  net.Listener
+	// Platform is what routed requests need of the platform; an instance with routed
+	// requests can't do without.
+	Platform *Platform
+}
+
+// Platform is how an instance speaks to the platform that it runs on.
+type Platform struct {
+	Directory feed.Source
+	Names     pass.Names
 }
 
 // New opens the listeners and returns a node that Run starts.
@@ -117,6 +133,9 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
+	if s.Routed.Enabled && p.Platform == nil {
+		return nil, errors.New("routed requests need a platform")
+	}
 	if p.Clock == nil {
 		p.Clock = SystemClock{}
 	}
@@ -138,7 +157,14 @@
 			return nil, errors.Wrapf(err, "control %q", s.Control)
 		}
 	}
-	return build(s, p), nil
+	n = build(s, p)
+	if s.Routed.Enabled && s.Routed.Ready != "" {
+		n.ready, err = net.Listen("tcp", s.Routed.Ready)
+		if err != nil {
+			return nil, errors.Wrapf(err, "routed.ready %q", s.Routed.Ready)
+		}
+	}
+	return n, nil
 }
 
 func build(s setup.Settings, p Parts) *Node {
@@ -160,11 +186,18 @@
 			n.Post(event.ConnectionLost{Address: address})
 		})
 	}
-	n.engine = engine.New(now, n.self, engine.Options{
+	options := engine.Options{
 		Query:     query.Options{Limits: s.Limits.Policy, Hedging: s.Hedging},
 		PerServer: s.Limits.Connections,
 		Seed:      rand.Uint64(),
-	})
+	}
+	if s.Routed.Enabled {
+		n.routed = newRouted(n, p.Platform)
+		options.Relay = &relay.Options{Regions: s.Routed.Regions, Retries: relay.RetryBudget{
+			Ratio: s.Routed.RetryRatio, Slack: s.Routed.RetrySlack, Window: time.Duration(s.Routed.RetryWindow),
+		}}
+	}
+	n.engine = engine.New(now, n.self, options)
 	n.publish()
 	return n
 }
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -29,14 +29,22 @@
 // flight are finished and recorded, and the leave is announced.
 func (n *Node) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "instance %q", n.self.ID) }()
-	callers := &http.Server{Handler: front.Handler(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: n.callersHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	control := &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.peers.Keep(n.ctx, n.settings.Seeds)
 
 	var group run.Group
 	n.addLoop(&group, n.loop)
-	n.addLoop(&group, n.watchRoot)
-	n.addLoop(&group, n.readList)
+	if n.routed != nil {
+		n.addLoop(&group, n.routed.follow)
+	} else {
+		n.addLoop(&group, n.watchRoot)
+		n.addLoop(&group, n.readList)
+	}
+	if n.ready != nil {
+		ready := &http.Server{Handler: front.Ready(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		addServer(&group, ready, func() error { return ready.Serve(n.ready) })
+	}
 	addServer(&group, control, func() error { return control.Serve(n.control) })
 	addServer(&group, callers, func() error { return callers.Serve(n.listener) })
 	leaveCtx, cancel := context.WithCancel(ctx)
@@ -50,6 +58,14 @@
 	return err
 }
 
+// callersHandler returns the interface to callers.
+func (n *Node) callersHandler() http.Handler {
+	if n.routed != nil {
+		return n.routed.front
+	}
+	return front.Handler(n)
+}
+
 // addLoop adds an actor that ends with its context.
 func (n *Node) addLoop(group *run.Group, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(n.ctx)
@@ -76,8 +92,9 @@
 func (n *Node) leave(callers *http.Server) {
 	n.leaving.Store(true)
 	n.Post(event.ShutdownBegun{})
-	time.Sleep(time.Duration(n.settings.Shutdown.Lag))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Shutdown.Drain))
+	lag, drain := n.settings.Shutdown.Times()
+	time.Sleep(lag)
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("requests were still in flight when the time to drain was up")
@@ -96,7 +113,7 @@
 func (n *Node) settle(ctx context.Context) {
 	for ctx.Err() == nil {
 		open := 0
-		n.View(func(e *engine.Engine) { open = e.Queries.InFlight() + e.Claims.Unsettled() })
+		n.View(func(e *engine.Engine) { open = e.InFlight() })
 		if open == 0 {
 			return
 		}
@@ -109,6 +126,9 @@
 	n.cancel()
 	n.peers.Close()
 	n.work.Wait()
+	if n.routed != nil {
+		n.routed.back.Close()
+	}
 	n.backend.Close()
 	n.store.Close()
 }
--- /dev/null
+++ b/io/pass/front.go
@@ -0,0 +1,192 @@
+package pass
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// Asker runs routed requests.
+type Asker interface {
+	// AskRouted runs a request and returns an event.RoutedAnswer or an
+	// event.RoutedRefusal. When the context ends first it returns nil: nobody waits any
+	// more.
+	AskRouted(ctx context.Context, r event.RoutedRequest, raw *Request) event.Command
+	// CallerLimits returns what a caller may send.
+	CallerLimits() model.CallerLimits
+	// Leaving reports whether connections should not be kept.
+	Leaving() bool
+}
+
+const (
+	// defaultBody is the longest request body while no limit is known, in bytes.
+	defaultBody = 1 << 20
+	// defaultBodyTime bounds the reading of a body.
+	defaultBodyTime = 10 * time.Second
+)
+
+// Front is the interface to callers.
+type Front struct {
+	names Names
+	asker Asker
+}
+
+// NewFront returns the interface to callers.
+func NewFront(names Names, a Asker) *Front { return &Front{names: names, asker: a} }
+
+func newReader(b []byte) *bytes.Reader { return bytes.NewReader(b) }
+
+// ServeHTTP implements http.Handler. It takes any path: which exist is decided by the
+// routes.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.asker.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	raw, routed, status := f.read(w, r)
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	switch c := f.asker.AskRouted(r.Context(), routed, raw).(type) {
+	case event.RoutedAnswer:
+		f.answer(w, c)
+	case event.RoutedRefusal:
+		f.refuse(w, c)
+	}
+}
+
+// read reads a request whole. A status other than zero says why it can't be taken.
+func (f *Front) read(w http.ResponseWriter, r *http.Request) (raw *Request, routed event.RoutedRequest, status int) {
+	limit := f.asker.CallerLimits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if r.ContentLength > limit {
+		return nil, routed, http.StatusRequestEntityTooLarge
+	}
+	if r.ContentLength != 0 {
+		// A server without this support only loses the bound on slow bodies.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(defaultBodyTime))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return nil, routed, http.StatusRequestEntityTooLarge
+	case err != nil:
+		// The body did not arrive: nobody is there to answer.
+		panic(http.ErrAbortHandler)
+	}
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	raw = &Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Header: endToEnd(r.Header), Body: body, Name: r.Header.Get(f.names.Request),
+	}
+	routed = event.RoutedRequest{
+		Name: raw.Name, Host: hostOnly(r.Host), Path: pathOf(r.RequestURI), Fingerprint: fingerprint(raw),
+	}
+	if text := r.Header.Get(f.names.Patience); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 1 {
+			return nil, routed, http.StatusBadRequest
+		}
+		routed.Patience = time.Duration(min(ms, maxPatience.Milliseconds())) * time.Millisecond
+	}
+	return raw, routed, 0
+}
+
+// maxPatience is the longest time that a caller may wait.
+const maxPatience = time.Hour
+
+// hostOnly returns a host without its port, in lower case.
+func hostOnly(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// pathOf returns the path of a request target, without the query part.
+func pathOf(target string) string {
+	if rest, ok := strings.CutPrefix(target, "http://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			target = rest[i:]
+		} else {
+			target = "/"
+		}
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// fingerprint identifies a request by its method, target and body.
+func fingerprint(r *Request) model.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return model.Fingerprint(d.Sum64())
+}
+
+// answer writes a reply as it came, or a merged answer.
+func (f *Front) answer(w http.ResponseWriter, a event.RoutedAnswer) {
+	h := w.Header()
+	if a.Merged != nil {
+		h.Set("Content-Type", "application/octet-stream")
+		h.Set("Content-Length", strconv.Itoa(len(a.Merged.Body)))
+		h.Set(f.names.Stamps, strings.Join(a.Merged.Stamps, ", "))
+		h.Set(f.names.Missing, strconv.Itoa(a.Merged.Missing))
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(a.Merged.Body)
+		return
+	}
+	// A header that the server left out is not added here.
+	h["Content-Type"] = nil
+	for _, field := range a.Relayed.Fields {
+		h[field.Name] = append(h[field.Name], field.Value)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Relayed.Body)))
+	w.WriteHeader(a.Relayed.Status)
+	_, _ = w.Write(a.Relayed.Body)
+}
+
+// refuse writes an answer of this instance. Only a request that no server ran is
+// answered with a status that promises so.
+func (f *Front) refuse(w http.ResponseWriter, r event.RoutedRefusal) {
+	h := w.Header()
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(r.Detail)+1))
+	w.WriteHeader(statusOf(r))
+	_, _ = io.WriteString(w, r.Detail+"\n")
+}
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(r event.RoutedRefusal) int {
+	switch {
+	case r.Code == event.RefuseUnknownService:
+		return http.StatusNotFound
+	case r.Code == event.RefuseDeadline:
+		return http.StatusGatewayTimeout
+	case r.Outcome == event.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadGateway
+	}
+}
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -5,9 +5,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,6 +31,19 @@
 	Limits     Limits           `json:"limits" help:"how much work goes to a backend server"`
 	Hedging    bool             `json:"hedging" help:"send a second attempt of a slow leg to another replica" want:"true or false"`
 	Shutdown   Shutdown         `json:"shutdown" help:"how an instance leaves"`
+	Routed     Routed           `json:"routed" help:"routed requests"`
+}
+
+// Routed are the settings of an instance that passes requests on to the servers of a
+// directory, in place of the services of a declared configuration.
+type Routed struct {
+	Enabled bool `json:"enabled" help:"serve routed requests from the directory in the store, in place of declared services" want:"true or false"`
+	// Ready is empty when readiness is asked for on the callers' address.
+	Ready       string            `json:"ready,omitempty" help:"where the balancer asks for readiness" want:"an IP number and port; empty: listen"`
+	Regions     map[string]string `json:"regions,omitempty" help:"the region of each data centre" want:"names of data centres and regions"`
+	RetryRatio  float64           `json:"retry-ratio" help:"attempts beyond the first, per request of a group, summed over all instances" want:"0 to 1"`
+	RetrySlack  float64           `json:"retry-slack" help:"attempts beyond the first that are allowed besides, in each retry window" want:"0 or more"`
+	RetryWindow model.Duration    `json:"retry-window" help:"time over which attempts beyond the first are counted" want:"\"1s\" to \"5m0s\""`
 }
 
 // Limits are the settings for work on backend servers.
@@ -39,6 +54,7 @@
 
 // Shutdown are the settings for a graceful shutdown.
 type Shutdown struct {
+	Grace model.Duration `json:"grace,omitempty" help:"time after which the process is killed; lag and drain are shortened to fit" want:"\"0s\" to \"5m0s\"; \"0s\": not bounded"`
 	Lag   model.Duration `json:"lag" help:"how long requests are still taken after readiness failed; longer than the balancer takes to notice" want:"\"0s\" to \"5m0s\""`
 	Drain model.Duration `json:"drain" help:"how long in-flight requests and records are waited for after that" want:"\"0s\" to \"5m0s\""`
 }
@@ -55,7 +71,25 @@
 		Limits:   Limits{Policy: limit.PolicyAdaptive, Connections: 5},
 		Hedging:  true,
 		Shutdown: Shutdown{Lag: model.Duration(2 * time.Second), Drain: model.Duration(10 * time.Second)},
+		Routed:   Routed{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: model.Duration(10 * time.Second)},
+	}
+}
+
+const (
+	// lagPart and drainPart are the parts of the grace that a shutdown uses; the rest is
+	// left for the process to end.
+	lagPart   = 0.45
+	drainPart = 0.4
+)
+
+// Times returns how long the lag and the drain of a shutdown last.
+func (s Shutdown) Times() (lag, drain time.Duration) {
+	lag, drain = time.Duration(s.Lag), time.Duration(s.Drain)
+	if s.Grace > 0 {
+		lag = min(lag, time.Duration(lagPart*float64(s.Grace)))
+		drain = min(drain, time.Duration(drainPart*float64(s.Grace)))
 	}
+	return lag, drain
 }
 
 // Load reads and checks a settings file.
@@ -97,11 +131,32 @@
 	if s.Limits.Connections < minConnections || s.Limits.Connections > maxConnections {
 		ps.Add("limits.connections", s.Limits.Connections, fmt.Sprintf("%d to %d", minConnections, maxConnections))
 	}
+	s.Routed.check(&ps)
+	checkWait(&ps, "shutdown.grace", s.Shutdown.Grace)
 	checkWait(&ps, "shutdown.lag", s.Shutdown.Lag)
 	checkWait(&ps, "shutdown.drain", s.Shutdown.Drain)
 	return ps.Err()
 }
 
+func (r *Routed) check(ps *conf.Problems) {
+	if r.Ready != "" {
+		checkAddress(ps, "routed.ready", r.Ready)
+	}
+	for _, d := range slices.Sorted(maps.Keys(r.Regions)) {
+		checkName(ps, "routed.regions", d)
+		checkName(ps, "routed.regions."+d, r.Regions[d])
+	}
+	if !(r.RetryRatio >= 0 && r.RetryRatio <= 1) {
+		ps.Add("routed.retry-ratio", r.RetryRatio, "0 to 1")
+	}
+	if !(r.RetrySlack >= 0) {
+		ps.Add("routed.retry-slack", r.RetrySlack, "0 or more")
+	}
+	if r.RetryWindow < model.Duration(time.Second) || time.Duration(r.RetryWindow) > maxWait {
+		ps.Add("routed.retry-window", time.Duration(r.RetryWindow).String(), `"1s" to "5m0s"`)
+	}
+}
+
 func checkName(ps *conf.Problems, field, value string) {
 	if !conf.ValidName(value) {
 		ps.Add(field, value, conf.WantName)
@@ -142,7 +197,7 @@
 }
 
 func defaultOf(v reflect.Value) string {
-	if v.Kind() == reflect.Slice || (v.Kind() == reflect.String && v.Len() == 0) {
+	if v.Kind() == reflect.Slice || v.Kind() == reflect.Map || (v.Kind() == reflect.String && v.Len() == 0) {
 		return ""
 	}
 	if d, ok := v.Interface().(model.Duration); ok {
