--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -34,6 +36,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	logs := &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: s.out}}
 	defer func() { _ = logs.Close() }()
 	parts := node.Parts{Log: &log.Logger{Level: log.InfoLevel, Writer: logs}}
@@ -46,10 +51,45 @@
 	if err != nil {
 		return err
 	}
+	go reloadLoop(ctx, reload, c.Settings, n)
 	_, _ = fmt.Fprintf(s.out, "listen %s control %s\n", n.Address(), n.ControlAddress())
 	return n.Run(ctx)
 }
 
+// fileInterval is the time between two looks at the settings file: it may change
+// without a signal.
+const fileInterval = 2 * time.Second
+
+// reloadLoop hands changed settings to an instance, on a signal or when the file has
+// changed, until the context ends.
+func reloadLoop(ctx context.Context, signals <-chan os.Signal, path string, n *node.Node) {
+	tick := time.NewTicker(fileInterval)
+	defer tick.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		case <-tick.C:
+			if at := modified(path); at.Equal(last) {
+				continue
+			}
+		}
+		last = modified(path)
+		n.Reload(setup.Load(path))
+	}
+}
+
+// modified returns when a file was last changed, or the zero time if it can't be read.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // SettingsCmd describes the settings.
 type SettingsCmd struct{}
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,8 @@
 	stopped   chan struct{}
 	lastQuery atomic.Uint64
 	leaving   atomic.Bool
+	// shutdown holds the times of a shutdown, which may be reloaded.
+	shutdown atomic.Pointer[setup.Shutdown]
 
 	mu      sync.Mutex
 	waiters map[event.QueryID]waiter
@@ -179,6 +182,7 @@
 		stopped: make(chan struct{}), waiters: map[event.QueryID]waiter{},
 		listener: p.Listener, control: p.Control, stats: stats.New(),
 	}
+	n.shutdown.Store(&s.Shutdown)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peer.NewHub(n.self, n)
 	if n.backend == nil {
@@ -193,9 +197,8 @@
 	}
 	if s.Routed.Enabled {
 		n.routed = newRouted(n, p.Platform)
-		options.Relay = &relay.Options{Regions: s.Routed.Regions, Retries: relay.RetryBudget{
-			Ratio: s.Routed.RetryRatio, Slack: s.Routed.RetrySlack, Window: time.Duration(s.Routed.RetryWindow),
-		}}
+		o := relayOptions(s)
+		options.Relay = &o
 	}
 	n.engine = engine.New(now, n.self, options)
 	n.publish()
@@ -308,3 +311,34 @@
 
 // Leaving implements front.Asker.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Reload takes in changed settings. Retry budgets, regions and the times of a shutdown
+// follow at once; whatever else changed needs a restart and is named in the log.
+// Settings that can't be read, or name another instance, change nothing.
+func (n *Node) Reload(s setup.Settings, err error) {
+	if err == nil && (s.Instance != n.settings.Instance || s.Routed.Enabled != n.settings.Routed.Enabled) {
+		err = errors.Newf("settings of instance %q, routed %t: this is instance %q, routed %t",
+			s.Instance, s.Routed.Enabled, n.settings.Instance, n.settings.Routed.Enabled)
+	}
+	if err != nil {
+		n.log.Error().Str("instance", string(n.self.ID)).Err(err).Msg("settings-rejected")
+		return
+	}
+	n.View(func(e *engine.Engine) {
+		n.shutdown.Store(&s.Shutdown)
+		if e.Relay != nil {
+			e.Relay.Options = relayOptions(s)
+		}
+	})
+	kept := s
+	kept.Shutdown, kept.Routed.Regions = n.settings.Shutdown, n.settings.Routed.Regions
+	kept.Routed.RetryRatio, kept.Routed.RetrySlack, kept.Routed.RetryWindow = n.settings.Routed.RetryRatio, n.settings.Routed.RetrySlack, n.settings.Routed.RetryWindow
+	n.log.Info().Str("instance", string(n.self.ID)).Bool("needs-restart", !reflect.DeepEqual(kept, n.settings)).Msg("settings-reloaded")
+}
+
+// relayOptions returns the settings of routed requests.
+func relayOptions(s setup.Settings) relay.Options {
+	return relay.Options{Regions: s.Routed.Regions, Retries: relay.RetryBudget{
+		Ratio: s.Routed.RetryRatio, Slack: s.Routed.RetrySlack, Window: time.Duration(s.Routed.RetryWindow),
+	}}
+}
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -92,7 +92,7 @@
 func (n *Node) leave(callers *http.Server) {
 	n.leaving.Store(true)
 	n.Post(event.ShutdownBegun{})
-	lag, drain := n.settings.Shutdown.Times()
+	lag, drain := n.shutdown.Load().Times()
 	time.Sleep(lag)
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
