--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -51,8 +51,9 @@
 	Roster *roster.Table
 	Relay  *relay.System
 
-	commands []event.Command
-	config   holder
+	commands  []event.Command
+	config    holder
+	directory follower
 
 	lastTick  time.Time
 	upkeepAt  time.Time
@@ -224,7 +225,7 @@
 	case event.DirectorySeen:
 		e.directorySeen(now, v)
 	case event.DirectoryLost:
-		e.directoryLost(v)
+		e.directoryLost(now, v)
 	}
 }
 
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -21,6 +21,7 @@
 	}
 	e.Emit(event.StateChanged{Kind: "peer", Name: string(p.ID), To: "linked"})
 	e.viewChanged(now)
+	e.askDirectory(now, p.ID)
 }
 
 // sendView sends the whole view and the platform's list to a peer.
@@ -76,6 +77,10 @@
 			}
 			e.Queries.ServerChanged(b)
 		}
+	case m.GetDirectory != nil:
+		e.giveDirectory(now, from, m.GetDirectory.Revision)
+	case m.Directory != nil:
+		e.directoryTold(now, from, m.Directory)
 	case m.Suspects != nil:
 		if e.Suspects.Apply(now, *m.Suspects) {
 			e.broadcastBut(from, m)
--- a/core/engine/upkeep.go
+++ b/core/engine/upkeep.go
@@ -32,6 +32,7 @@
 	}
 	if e.Roster != nil {
 		e.emitChanges(e.Roster.Tick(now))
+		e.followDirectory(now)
 	} else if e.config.inForce.Version == 0 {
 		e.Broadcast(event.Message{GetRoot: &event.GetRoot{}})
 	}
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -20,6 +20,9 @@
 	Returned *Returned  `cbor:"11,keyasint,omitempty"`
 	Suspects *Suspicion `cbor:"12,keyasint,omitempty"`
 	GetRoot  *GetRoot   `cbor:"13,keyasint,omitempty"`
+
+	GetDirectory *GetDirectory  `cbor:"14,keyasint,omitempty"`
+	Directory    *DirectoryNews `cbor:"15,keyasint,omitempty"`
 }
 
 // Hello opens a link and names its sender.
@@ -171,3 +174,26 @@
 	// overrides a lower, except that SuspicionCondemned overrides all.
 	Generation uint64 `cbor:"3,keyasint"`
 }
+
+// GetDirectory asks a peer for what it knows of the directory.
+type GetDirectory struct {
+	// Revision is what the sender knows; zero if nothing.
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// DirectoryNews carries changes of the directory to instances that don't read it
+// themselves.
+type DirectoryNews struct {
+	// After is the revision that Changes follow on: one who knows that revision or a
+	// later one misses nothing. Unused when Whole is set.
+	After    uint64 `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	// Whole is set when Changes is all that the directory holds.
+	Whole   bool              `cbor:"3,keyasint,omitempty"`
+	Changes []DirectoryChange `cbor:"4,keyasint,omitempty"`
+	// AgeMicros is how old this word is: the directory held just this at that time.
+	AgeMicros int64 `cbor:"5,keyasint"`
+	// ReturnedMicros is how long ago the directory came back after it had been away;
+	// zero if it was not away lately.
+	ReturnedMicros int64 `cbor:"6,keyasint,omitempty"`
+}
--- a/core/event/relay.go
+++ b/core/event/relay.go
@@ -162,8 +162,17 @@
 	Changes []DirectoryChange
 	// Whole is set when Changes is all that the directory holds.
 	Whole bool
-	// AskedAt is when the call began.
-	AskedAt time.Time
+	// Revision is that of the directory after the changes.
+	Revision uint64
+	// KnownAt is a time at which the directory held just this.
+	KnownAt time.Time
+}
+
+// FollowDirectory says whether this instance reads the directory itself, and from
+// which revision on; zero reads it whole.
+type FollowDirectory struct {
+	Active   bool
+	Revision uint64
 }
 
 // DirectoryLost reports that the directory gave no answer.
@@ -186,3 +195,5 @@
 func (RoutedAnswer) isCommand()   {}
 func (RoutedRefusal) isCommand()  {}
 func (RequestTold) isCommand()    {}
+
+func (FollowDirectory) isCommand() {}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -39,6 +39,9 @@
 	forgetAfter = 10 * time.Minute
 	// maxFullMesh is the number of instances up to which each links to all.
 	maxFullMesh = 12
+	// maxLocalMesh is the number of instances of one data centre up to which each links
+	// to all of them.
+	maxLocalMesh = 6
 	// ringLinks is the number of neighbours to each side on the ring of a larger
 	// deployment, at growing distances.
 	ringLinks = 4
@@ -360,9 +363,29 @@
 	for _, step := range ringSteps(len(ring)) {
 		out = append(out, byID[ring[(at+step)%len(ring)]], byID[ring[(at-step+len(ring))%len(ring)]])
 	}
+	for _, id := range localNeighbours(ring, byID, self) {
+		if !slices.ContainsFunc(out, func(p model.Instance) bool { return p.ID == id }) {
+			out = append(out, byID[id])
+		}
+	}
 	return out
 }
 
+// localNeighbours returns the neighbours of the same data centre: all in a small one;
+// else the next ones to both sides on the ring of that data centre, so that word can
+// travel within it.
+func localNeighbours(ring []model.InstanceID, byID map[model.InstanceID]model.Instance, self model.InstanceID) []model.InstanceID {
+	local := slices.DeleteFunc(slices.Clone(ring), func(id model.InstanceID) bool {
+		return byID[id].DataCentre != byID[self].DataCentre
+	})
+	at := slices.Index(local, self)
+	n := len(local)
+	if n <= maxLocalMesh {
+		return slices.Delete(local, at, at+1)
+	}
+	return []model.InstanceID{local[(at+1)%n], local[(at+n-1)%n]}
+}
+
 // ringSteps returns the distances of the neighbours to one side on a ring of n
 // instances: the powers of the ringLinks-th root of n. Every instance is then within
 // some ringLinks times half that root of hops, and a distance that one instance
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -89,12 +89,40 @@
 	return changed
 }
 
+// Returned notes that the directory is back, since a time if it had been away lately;
+// the zero time if it had not.
+func (t *Table) Returned(since time.Time) {
+	t.away = false
+	if since.After(t.returnedAt) {
+		t.returnedAt = since
+	}
+}
+
+// ReturnedAt returns when the directory last came back; the zero time if it never was
+// away.
+func (t *Table) ReturnedAt() time.Time { return t.returnedAt }
+
+// All returns the table's content as changes of the directory.
+func (t *Table) All(now time.Time) []event.DirectoryChange {
+	out := make([]event.DirectoryChange, 0, len(t.rows)+len(t.evacuated))
+	for _, key := range t.keys() {
+		if d, ok := t.evacuated[key]; ok {
+			out = append(out, event.DirectoryChange{Key: key, Evacuated: d})
+			continue
+		}
+		s := t.rows[key]
+		if !s.LapsedAt.IsZero() {
+			continue
+		}
+		r := s.Registration
+		r.ColdFor = max(0, s.ColdUntil.Sub(now))
+		out = append(out, event.DirectoryChange{Key: key, Server: &r})
+	}
+	return out
+}
+
 // Apply takes in changes of the directory and returns what changed.
 func (t *Table) Apply(now time.Time, seen event.DirectorySeen) (changes []event.StateChanged) {
-	if t.away {
-		t.away = false
-		t.returnedAt = now
-	}
 	present := map[string]bool{}
 	for _, c := range seen.Changes {
 		present[c.Key] = true
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,8 +40,8 @@
 	listTimeout = 3 * time.Second
 	// watchWait is how long one watch waits; a connection that has gone silent is
 	// noticed after watchWait and watchSlack.
-	watchWait  = 1800 * time.Millisecond
-	watchSlack = 700 * time.Millisecond
+	watchWait  = 900 * time.Millisecond
+	watchSlack = 600 * time.Millisecond
 	// watchPace is the least time between the starts of two watches: changes that come
 	// close together are read at once.
 	watchPace = 400 * time.Millisecond
@@ -49,59 +50,111 @@
 	lastRetry  = 800 * time.Millisecond
 )
 
-// Follow posts the directory's content and changes until the context ends.
-func Follow(ctx context.Context, clock Clock, source Source, sink Sink) {
-	f := &follower{clock: clock, source: source, sink: sink}
-	for ctx.Err() == nil {
-		began := clock.Now()
-		wait := watchPace
-		if err := f.step(ctx, began); err != nil && ctx.Err() == nil {
-			f.failures++
-			sink.Post(event.DirectoryLost{Why: err.Error()})
-			wait = min(firstRetry<<min(f.failures-1, 4), lastRetry)
-			began = clock.Now()
-		} else {
-			f.failures = 0
-		}
-		pause(ctx, wait-clock.Now().Sub(began))
-	}
-}
-
-type follower struct {
+// Reader reads a directory while it is told to. It starts reading.
+type Reader struct {
 	clock  Clock
 	source Source
 	sink   Sink
+
+	mu sync.Mutex
+	// orders holds the newest order that Run has not seen, or nil; ordered is signalled
+	// for each.
+	orders  *event.FollowDirectory
+	ordered chan struct{}
+
 	// listed is set while revision is one that Watch can continue from.
 	listed   bool
 	revision uint64
 	failures int
 }
 
+// NewReader returns a reader that Run starts.
+func NewReader(c Clock, source Source, sink Sink) *Reader {
+	return &Reader{clock: c, source: source, sink: sink, ordered: make(chan struct{}, 1)}
+}
+
+// Follow says whether to read, and from which revision on.
+func (r *Reader) Follow(o event.FollowDirectory) {
+	r.mu.Lock()
+	r.orders = &o
+	r.mu.Unlock()
+	select {
+	case r.ordered <- struct{}{}:
+	default:
+	}
+}
+
+// Run posts the directory's content and changes until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	active := true
+	for ctx.Err() == nil {
+		active = r.take(active)
+		if !active {
+			select {
+			case <-ctx.Done():
+			case <-r.ordered:
+			}
+			continue
+		}
+		began := r.clock.Now()
+		wait := watchPace
+		if err := r.step(ctx, began); err != nil && ctx.Err() == nil {
+			r.failures++
+			r.sink.Post(event.DirectoryLost{Why: err.Error()})
+			wait = min(firstRetry<<min(r.failures-1, 4), lastRetry)
+			began = r.clock.Now()
+		} else {
+			r.failures = 0
+		}
+		pause(ctx, wait-r.clock.Now().Sub(began))
+	}
+}
+
+// take takes in the newest order and returns whether to read.
+func (r *Reader) take(active bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.orders
+	r.orders = nil
+	if o == nil {
+		return active
+	}
+	if o.Active && !active && o.Revision > 0 {
+		r.listed, r.revision = true, max(r.revision, o.Revision)
+	}
+	return o.Active
+}
+
 // step makes one call.
-func (f *follower) step(ctx context.Context, now time.Time) (err error) {
-	if !f.listed {
+func (r *Reader) step(ctx context.Context, now time.Time) (err error) {
+	if !r.listed {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		changes, revision, err := f.source.List(ctx)
+		changes, revision, err := r.source.List(ctx)
 		if err != nil {
 			return err
 		}
-		f.listed, f.revision = true, revision
-		f.sink.Post(event.DirectorySeen{Changes: changes, Whole: true, AskedAt: now})
+		r.listed, r.revision = true, revision
+		r.sink.Post(event.DirectorySeen{Changes: changes, Whole: true, Revision: revision, KnownAt: now})
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	changes, revision, err := f.source.Watch(ctx, f.revision, watchWait)
+	changes, revision, err := r.source.Watch(ctx, r.revision, watchWait)
 	if errors.Is(err, ErrCompacted) {
-		f.listed = false
+		r.listed = false
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.revision = max(f.revision, revision)
-	f.sink.Post(event.DirectorySeen{Changes: changes, AskedAt: now})
+	r.revision = max(r.revision, revision)
+	known := now
+	if len(changes) == 0 {
+		// The directory answered when the wait was over, not before.
+		known = now.Add(min(watchWait, r.clock.Now().Sub(now)))
+	}
+	r.sink.Post(event.DirectorySeen{Changes: changes, Revision: r.revision, KnownAt: known})
 	return nil
 }
 
--- a/io/node/carry.go
+++ b/io/node/carry.go
@@ -60,6 +60,8 @@
 		n.routed.reply(c.Query, c)
 	case event.RoutedRefusal:
 		n.routed.reply(c.Query, c)
+	case event.FollowDirectory:
+		n.routed.directory.Follow(c)
 	case event.RequestTold:
 		n.routed.tell(c)
 	}
--- a/io/node/routed.go
+++ b/io/node/routed.go
@@ -16,7 +16,7 @@
 // routed is the part of a node that serves routed requests.
 type routed struct {
 	node      *Node
-	directory feed.Source
+	directory *feed.Reader
 	front     *pass.Front
 	back      *pass.Back
 	told      *teller
@@ -34,7 +34,7 @@
 
 func newRouted(n *Node, p *Platform) *routed {
 	r := &routed{
-		node: n, directory: p.Directory, back: pass.NewBack(n.clock, p.Names),
+		node: n, directory: feed.NewReader(n.clock, p.Directory, n), back: pass.NewBack(n.clock, p.Names),
 		told: newTeller(n.clock, n.log), waiting: map[event.QueryID]routedWaiter{},
 	}
 	r.front = pass.NewFront(p.Names, r)
@@ -43,7 +43,7 @@
 
 // follow posts the directory's content and changes.
 func (r *routed) follow(ctx context.Context) error {
-	feed.Follow(ctx, r.node.clock, r.directory, r.node)
+	r.directory.Run(ctx)
 	return nil
 }
 
