Tell an isolated stall of a server from slowness

Two stalls within 0.5 s now show slowness; one doesn't. Ruled out: a smaller weight alone, which reacts late to slow servers.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -30,7 +30,6 @@
 	if !a.Overdue {
 		a.Overdue = true
 		a.Server.Overdue(now)
-		a.Server.AtLeast(now, float64(now.Sub(a.SentAt))/float64(a.Usual))
 	}
 	l := &q.Legs[leg]
 	if l.State != LegOpen || l.Running > 1 || !q.Route.Idempotent || l.mayHaveRun() >= q.Route.Attempts || len(l.Sent) >= maxExchanges {
--- a/core/relay/pace.go
+++ b/core/relay/pace.go
@@ -131,7 +131,7 @@
 		s.paces[a.Route] = p
 	}
 	p.observe(max(took-s.way(dataCentre), time.Duration(leastWork*float64(took))))
-	a.Server.Answered(now, float64(took)/float64(s.usual(a.Route, dataCentre)))
+	a.Server.Answered(now, a.SentAt, float64(took)/float64(s.usual(a.Route, dataCentre)), a.Overdue)
 }
 
 // forgetRoutes drops what is known of routes that are gone.
--- a/core/relay/settle.go
+++ b/core/relay/settle.go
@@ -73,7 +73,7 @@
 	case event.TimedOut:
 		s.Counters.EndedTimedOut++
 		// A cancelled exchange would have taken at least this long.
-		a.Server.AtLeast(now, float64(now.Sub(a.SentAt))/float64(a.Usual))
+		a.Server.AtLeast(now, a.SentAt, float64(now.Sub(a.SentAt))/float64(a.Usual))
 	case event.BadReply:
 		s.Counters.EndedBad++
 		a.Server.Failed(now)
--- a/core/roster/health.go
+++ b/core/roster/health.go
@@ -19,6 +19,9 @@
 	// pauseLength is how long a server with an overdue attempt is passed over: the
 	// usual length of a pause.
 	pauseLength = 200 * time.Millisecond
+	// stallWindow is the time from the end of a stall in which another one shows that the
+	// server is slow; pauses come seconds apart.
+	stallWindow = 500 * time.Millisecond
 	// firstBackoff and lastBackoff bound the wait before a server that could not be
 	// reached is tried again.
 	firstBackoff = 200 * time.Millisecond
@@ -35,6 +38,8 @@
 	DownUntil time.Time
 	Backoff   time.Duration
 
+	// stalledAt is when the last stall ended.
+	stalledAt time.Time
 	// factor is how much slower than its peers the server answers, and failing the
 	// fraction of exchanges that it fails or refuses, both as of measuredAt.
 	factor     float64
@@ -67,19 +72,37 @@
 	h.measuredAt = now
 }
 
-// Answered records an answer that took a multiple of the usual time.
-func (h *Health) Answered(now time.Time, multiple float64) {
+// Answered records an answer to what was sent at a time, which took a multiple of the
+// usual time; overdue says that it took far longer than expected. An isolated stall says
+// nothing of the next answers and leaves the estimate as it is: it takes two within
+// stallWindow to show that the server is slow.
+func (h *Health) Answered(now, sentAt time.Time, multiple float64, overdue bool) {
+	h.PausedUntil = time.Time{}
+	h.DownUntil, h.Backoff = time.Time{}, 0
+	if overdue && !h.stalledAgain(now, sentAt) {
+		return
+	}
 	h.settle(now)
 	h.factor += factorWeight * (min(multiple, maxFactor) - h.factor)
 	h.failing -= failureWeight * h.failing
-	h.PausedUntil = time.Time{}
-	h.DownUntil, h.Backoff = time.Time{}, 0
 }
 
-// AtLeast records that an answer which has not come will take at least a multiple
-// of the usual time.
-func (h *Health) AtLeast(now time.Time, multiple float64) {
-	if multiple <= h.Factor(now) {
+// stalledAgain notes that an answer was overdue, and reports whether that was another
+// stall soon after the last one.
+func (h *Health) stalledAgain(now, sentAt time.Time) bool {
+	if sentAt.Before(h.stalledAt) {
+		// What was in flight during one stall ends with it.
+		return false
+	}
+	again := sentAt.Sub(h.stalledAt) < stallWindow
+	h.stalledAt = now
+	return again
+}
+
+// AtLeast records that an answer to what was sent at a time, which will not be waited for,
+// would have taken at least a multiple of the usual time.
+func (h *Health) AtLeast(now, sentAt time.Time, multiple float64) {
+	if multiple <= h.Factor(now) || !h.stalledAgain(now, sentAt) {
 		return
 	}
 	h.settle(now)
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -93,7 +93,7 @@
 func TestEstimatesFade(t *testing.T) {
 	var h roster.Health
 	for range 10 {
-		h.Answered(start, 10)
+		h.Answered(start, start, 10, false)
 		h.Failed(start)
 	}
 	if got := h.Factor(start); got < 8 {
@@ -110,3 +110,19 @@
 		t.Errorf("failing ten seconds later: got %.2f, want 0.05 at most", got)
 	}
 }
+
+// TestIsolatedStallIsNoSlowness: a pause delays all that is in flight at a server and says
+// nothing of what comes after; two stalls in a row do.
+func TestIsolatedStallIsNoSlowness(t *testing.T) {
+	var h roster.Health
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	h.Answered(at(200), at(0), 10, true)
+	h.Answered(at(201), at(50), 8, true)
+	if got := h.Factor(at(201)); got != 1 {
+		t.Errorf("factor after one stall: got %.2f, want 1", got)
+	}
+	h.Answered(at(400), at(250), 10, true)
+	if got := h.Factor(at(400)); got < 2 {
+		t.Errorf("factor after two stalls: got %.2f, want 2 or more", got)
+	}
+}
