--- a/core/engine/routed.go
+++ b/core/engine/routed.go
@@ -46,6 +46,12 @@
 	asked int
 }
 
+// Directory returns the revision of the directory that is known, and a time at which the
+// directory held it.
+func (e *Engine) Directory() (revision uint64, knownAt time.Time) {
+	return e.directory.revision, e.directory.knownAt
+}
+
 // followDirectory decides whether this instance reads the directory itself.
 func (e *Engine) followDirectory(now time.Time) {
 	f := &e.directory
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -10,6 +10,7 @@
 	"hyssoppitch/core/engine"
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/relay"
 	"hyssoppitch/io/peer"
 )
 
@@ -168,6 +169,9 @@
 		n.View(func(e *engine.Engine) { out = e.Queries.Counters })
 		return out
 	})
+	if n.routed != nil {
+		n.publishRouted()
+	}
 	n.stats.Publish("state", func() any {
 		now := n.clock.Now()
 		var out Status
@@ -175,3 +179,37 @@
 		return out
 	})
 }
+
+// RoutedStatus is what an instance says of its routed requests.
+type RoutedStatus struct {
+	relay.Counters
+	// Version is that of the routing table in force, and Revision that of the directory.
+	Version  uint64 `json:"routing-version"`
+	Revision uint64 `json:"directory-revision"`
+	// DirectoryAgeMicros is how old the last word of the directory is.
+	DirectoryAgeMicros int64 `json:"directory-age-us"`
+	DirectoryReachable bool  `json:"directory-reachable"`
+	Servers            int   `json:"servers"`
+	InFlight           int   `json:"requests-in-flight"`
+	// ConnectionsOpened and ConnectionsFailed count connections to backend servers.
+	ConnectionsOpened uint64 `json:"connections-opened"`
+	ConnectionsFailed uint64 `json:"connections-failed"`
+}
+
+// publishRouted puts the counters of routed requests among the variables.
+func (n *Node) publishRouted() {
+	n.stats.Publish("routed", func() any {
+		now := n.clock.Now()
+		var out RoutedStatus
+		n.View(func(e *engine.Engine) {
+			revision, knownAt := e.Directory()
+			out = RoutedStatus{
+				Counters: e.Relay.Counters, Version: e.Relay.Table().Version, Revision: revision,
+				DirectoryAgeMicros: now.Sub(knownAt).Microseconds(), DirectoryReachable: !e.Roster.Away(),
+				Servers: e.Roster.Len(), InFlight: e.Relay.InFlight(),
+			}
+		})
+		out.ConnectionsOpened, out.ConnectionsFailed = n.routed.back.Connections()
+		return out
+	})
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -99,8 +99,10 @@
 
 	listener net.Listener
 	control  net.Listener
-	// ready is nil when readiness is asked for on the callers' listener.
-	ready net.Listener
+	// ready is nil when readiness is asked for on the callers' listener, and metrics when
+	// the settings name no address for them.
+	ready   net.Listener
+	metrics net.Listener
 }
 
 // waiter is a request that waits for its answer.
@@ -167,6 +169,12 @@
 			return nil, errors.Wrapf(err, "routed.ready %q", s.Routed.Ready)
 		}
 	}
+	if s.Metrics != "" {
+		n.metrics, err = net.Listen("tcp", s.Metrics)
+		if err != nil {
+			return nil, errors.Wrapf(err, "metrics %q", s.Metrics)
+		}
+	}
 	return n, nil
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -45,6 +45,10 @@
 		ready := &http.Server{Handler: front.Ready(n), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		addServer(&group, ready, func() error { return ready.Serve(n.ready) })
 	}
+	if n.metrics != nil {
+		metrics := &http.Server{Handler: n.stats, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		addServer(&group, metrics, func() error { return metrics.Serve(n.metrics) })
+	}
 	addServer(&group, control, func() error { return control.Serve(n.control) })
 	addServer(&group, callers, func() error { return callers.Serve(n.listener) })
 	leaveCtx, cancel := context.WithCancel(ctx)
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -320,10 +320,10 @@
 // TestReplyIsPassedOnAsItCame: status, body and headers of a server, nothing added.
 func TestReplyIsPassedOnAsItCame(t *testing.T) {
 	a := &asker{answer: event.RoutedAnswer{Relayed: &event.Reply{
-		Status: 418, Body: []byte("<html>"), Fields: []event.Field{{Name: "X-Stamp", Value: "st"}, {Name: "Set-Cookie", Value: "a"}, {Name: "Set-Cookie", Value: "b"}},
+		Status: http.StatusTeapot, Body: []byte("<html>"), Fields: []event.Field{{Name: "X-Stamp", Value: "st"}, {Name: "Set-Cookie", Value: "a"}, {Name: "Set-Cookie", Value: "b"}},
 	}}}
 	reply, body := serveFront(t, a, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
-	if reply.StatusCode != 418 || string(body) != "<html>" || reply.Header.Get("X-Stamp") != "st" || len(reply.Header["Set-Cookie"]) != 2 {
+	if reply.StatusCode != http.StatusTeapot || string(body) != "<html>" || reply.Header.Get("X-Stamp") != "st" || len(reply.Header["Set-Cookie"]) != 2 {
 		t.Errorf("got %d %q %v", reply.StatusCode, body, reply.Header)
 	}
 	if got, ok := reply.Header["Content-Type"]; ok {
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -27,6 +27,7 @@
 	Listen     string           `json:"listen" help:"where callers connect" want:"an IP number and port"`
 	Control    string           `json:"control" help:"where peers and operators connect" want:"an IP number and port, other than listen"`
 	Store      string           `json:"store" help:"the platform's key-value service" want:"an IP number and port"`
+	Metrics    string           `json:"metrics,omitempty" help:"where counters and histograms are read, besides control" want:"an IP number and port; empty: control only"`
 	Seeds      []string         `json:"seeds,omitempty" help:"control addresses of other instances, for a start while the store is down" want:"IP numbers and ports"`
 	Limits     Limits           `json:"limits" help:"how much work goes to a backend server"`
 	Hedging    bool             `json:"hedging" help:"send a second attempt of a slow leg to another replica" want:"true or false"`
@@ -122,6 +123,9 @@
 	if s.Control == s.Listen && s.Listen != "" && !strings.HasSuffix(s.Listen, ":0") {
 		ps.Add("control", s.Control, "an address other than listen")
 	}
+	if s.Metrics != "" {
+		checkAddress(&ps, "metrics", s.Metrics)
+	}
 	for i, seed := range s.Seeds {
 		checkAddress(&ps, fmt.Sprintf("seeds[%d]", i), seed)
 	}
