--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -36,7 +36,7 @@
 		return
 	}
 	b := s.choose(now, q, l, false)
-	if b == nil || now.Before(b.PausedUntil) || now.Before(b.DownUntil) {
+	if b == nil || now.Before(b.PausedUntil) {
 		// Another server may have room, or be done with its pause, in a moment.
 		s.timers.Set(now.Add(hedgeRetry), due{kind: dueHedge, request: q.Query, leg: leg, attempt: id})
 		return
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -92,6 +92,32 @@
 	}
 }
 
+// TestLoadRefusedConnections: no server of one group gives a connection. Requests are
+// answered from the others, and the tries to reach the group are spaced: they don't use up
+// its budget for when it is back.
+func TestLoadRefusedConnections(t *testing.T) {
+	w := newWorld(14, 10, gather())
+	w.load(45, 2*time.Second)
+	dead := func(down bool) {
+		w.each(func(_ int, s *simServer) { s.dead = down && s.group == "g3" })
+	}
+	dead(true)
+	before := w.Counters.EndedNotSent
+	w.load(45, 5*time.Second)
+	if got, want := w.Counters.EndedNotSent-before, uint64(60); got > want {
+		t.Errorf("tries to reach servers that give no connection, in 5s: got %d, want %d at most", got, want)
+	}
+	dead(false)
+	w.results = nil
+	back := w.now
+	w.load(45, 3*time.Second)
+	for _, r := range w.results {
+		if r.at.Sub(back) > time.Second && r.parts != 10 {
+			t.Fatalf("request %d, %v after the group's return: got %d parts, want 10", r.id, r.at.Sub(back), r.parts)
+		}
+	}
+}
+
 // TestLoadGroupDown: no server of one group answers. Requests are answered from the
 // other nine at the target, which is enough; with two such groups they are refused.
 func TestLoadGroupDown(t *testing.T) {
--- a/core/relay/pace.go
+++ b/core/relay/pace.go
@@ -27,10 +27,8 @@
 	// failureCost is the time that a failed attempt costs, weighed by how often the
 	// server fails.
 	failureCost = 120 * time.Millisecond
-	// pauseCost is added for a server with an overdue attempt, and downCost for one
-	// that could not be reached.
+	// pauseCost is added for a server with an overdue attempt.
 	pauseCost = 150 * time.Millisecond
-	downCost  = 2 * time.Second
 	// loadPart is the part of the usual time that is added for each exchange in flight
 	// per slot.
 	loadPart = 0.5
@@ -112,9 +110,6 @@
 	if now.Before(b.PausedUntil) {
 		cost += float64(pauseCost)
 	}
-	if now.Before(b.DownUntil) {
-		cost += float64(downCost)
-	}
 	return time.Duration(cost * (1 + costJitter*s.Rand.Float64()))
 }
 
--- a/core/relay/place.go
+++ b/core/relay/place.go
@@ -81,7 +81,7 @@
 func (s *System) choose(now time.Time, q *Request, l *Leg, again bool) (best *roster.Server) {
 	var least time.Duration
 	for _, b := range s.Servers.Group(l.Group) {
-		if !s.permitted(q.Route, b) || b.InFlight >= s.room(q.Route, b) || (!again && l.tried(b.ID)) || !s.bearable(now, b) {
+		if !s.permitted(q.Route, b) || now.Before(b.DownUntil) || b.InFlight >= s.room(q.Route, b) || (!again && l.tried(b.ID)) || !s.bearable(now, b) {
 			continue
 		}
 		if cost := s.cost(now, q.Route, b); best == nil || cost < least {
--- a/core/roster/health.go
+++ b/core/roster/health.go
@@ -25,7 +25,7 @@
 	// firstBackoff and lastBackoff bound the wait before a server that could not be
 	// reached is tried again.
 	firstBackoff = 200 * time.Millisecond
-	lastBackoff  = 2 * time.Second
+	lastBackoff  = 800 * time.Millisecond
 )
 
 // Health is what this instance has measured of a server.
