--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to its connections.
+type mode int
+
+const (
+	pass mode = iota
+	// slow delays what passes in both directions.
+	slow
+	// silent keeps connections open and passes nothing; oneWay passes only what goes to the
+	// target.
+	silent
+	oneWay
+	// refuse resets new connections.
+	refuse
+)
+
+var modeNames = map[mode]string{pass: "pass", slow: "slow", silent: "silent", oneWay: "one-way", refuse: "refuse"}
+
+// slowBy is the delay of slow connections.
+const slowBy = 150 * time.Millisecond
+
+// proxy is a loopback TCP proxy in front of one address.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (p *proxy, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p = &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+}
+
+func (p *proxy) is() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// reset resets all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		resetConn(c)
+	}
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.is() == refuse {
+			resetConn(c)
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		resetConn(c)
+		return
+	}
+	p.track(c, true)
+	p.track(t, true)
+	defer func() {
+		p.track(c, false)
+		p.track(t, false)
+	}()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(t, c, true) })
+	both.Go(func() { p.copy(c, t, false) })
+	both.Wait()
+}
+
+func (p *proxy) track(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = true
+		return
+	}
+	delete(p.conns, c)
+	_ = c.Close()
+}
+
+// copy passes bytes on in one direction, as the mode says at each moment.
+func (p *proxy) copy(to, from net.Conn, outward bool) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		for p.is() == silent || (p.is() == oneWay && !outward) {
+			// What arrives meanwhile is held up, and lost if the connection ends.
+			time.Sleep(20 * time.Millisecond)
+		}
+		if p.is() == slow {
+			time.Sleep(slowBy)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				resetConn(to)
+			} else {
+				_ = to.Close()
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hyssoppitch/platform"
+	"hyssoppitch/platform/stand"
+)
+
+const (
+	groups   = 6
+	replicas = 3
+	// singles is the group of requests that can't be repeated.
+	singles = "single"
+	// routeTimeout is the timeout of all routes, and drainBound how long after its word a
+	// leaving server may still get requests.
+	routeTimeout = 1500 * time.Millisecond
+	drainBound   = 3 * time.Second
+)
+
+var zones = []string{"dc0", "dc1", "dc2"}
+
+// instance is one process of the program.
+type instance struct {
+	name, front, ready, control string
+	// store is the proxy between this instance and the store.
+	store    *proxy
+	settings string
+	log      *os.File
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// exited is closed when the process has ended.
+	exited chan struct{}
+	// hurtAt is when the process was last killed, stopped or resumed, and termAt when it
+	// was last told to leave.
+	hurtAt, termAt time.Time
+}
+
+// backend is a server stand-in behind a proxy.
+type backend struct {
+	*stand.Server
+	proxy *proxy
+	// leftAt is when the server said that it leaves; zero while it serves.
+	leftAt time.Time
+	gone   bool
+}
+
+// world is one deployment of real processes and stand-ins.
+type world struct {
+	dir     string
+	program string
+	rand    *rand.Rand
+	store   *stand.Store
+	nodes   []*instance
+
+	mu       sync.Mutex
+	backends map[string]*backend
+	// retired holds the servers that are gone, for the checks at the end.
+	retired []*backend
+	version uint64
+	config  platform.ConfigDocument
+	nextID  int
+	// storeHurtAt is when the store or the way to it was last disturbed.
+	storeHurtAt time.Time
+	outAt       map[string]time.Time
+	checks      *checks
+}
+
+func newWorld(program, dir string, seed uint64, nodes int) (w *world, err error) {
+	defer func() { err = errors.Wrap(err, "start world") }()
+	w = &world{
+		dir: dir, program: program, rand: rand.New(rand.NewPCG(seed, 7)),
+		backends: map[string]*backend{}, outAt: map[string]time.Time{}, checks: &checks{sent: map[string]*sent{}},
+	}
+	w.store, err = stand.NewStore()
+	if err != nil {
+		return nil, err
+	}
+	for g := range groups {
+		for r := range replicas {
+			if err := w.addServer(groupName(g), zones[r]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, z := range append(zones, zones...) {
+		if err := w.addServer(singles, z); err != nil {
+			return nil, err
+		}
+	}
+	w.configure()
+	return w, w.addInstances(nodes)
+}
+
+func groupName(g int) string { return fmt.Sprintf("g%d", g) }
+
+// addServer starts a server and registers it.
+func (w *world) addServer(group, zone string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nextID++
+	s, err := stand.NewServer(fmt.Sprintf("s%d", w.nextID), group, zone, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(s.Address())
+	if err != nil {
+		return err
+	}
+	b := &backend{Server: s, proxy: p}
+	w.backends[s.ID] = b
+	w.register(b, "ready")
+	return nil
+}
+
+func (w *world) register(b *backend, state string) {
+	w.store.PutServer(b.ID, platform.ServerEntry{
+		Group: b.Group, Address: b.proxy.address(), DataCentre: b.Zone, Slots: 3, State: state, Born: 1,
+	})
+}
+
+// configure writes the next version; each adds a route of its own.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + uint64(w.rand.IntN(3))
+	gather := make([]string, groups)
+	for g := range gather {
+		gather[g] = groupName(g)
+	}
+	d := platform.ConfigDocument{Version: w.version}
+	for _, prefix := range []string{"/find/", fmt.Sprintf("/v%d/", w.version)} {
+		d.Routes = append(d.Routes, platform.RouteEntry{
+			Name: prefix, Host: "soak", Prefix: prefix, Kind: "safe", TimeoutMillis: 1500, TargetMillis: 150,
+			Gather: gather, MergeTop: 5, LeastCoverage: 0.6, Attempts: 2,
+		})
+	}
+	d.Routes = append(d.Routes, platform.RouteEntry{
+		Name: "order", Host: "soak", Prefix: "/order/", Kind: "unsafe", TimeoutMillis: 1500, TargetMillis: 300,
+		Group: singles, Attempts: 2,
+	})
+	w.config = d
+	w.store.PutConfig(d)
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (w *world) addInstances(n int) error {
+	var seeds []string
+	for i := range n {
+		in := &instance{name: fmt.Sprintf("i%d", i)}
+		for _, a := range []*string{&in.front, &in.ready, &in.control} {
+			address, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			*a = address
+		}
+		var err error
+		if in.store, err = newProxy(w.store.Address()); err != nil {
+			return err
+		}
+		if in.log, err = os.Create(filepath.Join(w.dir, in.name+".log")); err != nil {
+			return err
+		}
+		if i < 3 {
+			seeds = append(seeds, in.control)
+		}
+		w.nodes = append(w.nodes, in)
+	}
+	for i, in := range w.nodes {
+		data, err := json.Marshal(map[string]any{
+			"instance": in.name, "data-centre": zones[i%len(zones)], "listen": in.front, "control": in.control,
+			"store": in.store.address(), "seeds": seeds,
+			"shutdown": map[string]string{"grace": "6s", "lag": "1s", "drain": "2s"},
+			"routed": map[string]any{
+				"enabled": true, "ready": in.ready, "retry-ratio": 0.2, "retry-slack": 50, "retry-window": "10s",
+				"regions": map[string]string{"dc0": "r0", "dc1": "r1", "dc2": "r2"},
+			},
+		})
+		if err != nil {
+			return err
+		}
+		in.settings = filepath.Join(w.dir, in.name+".json")
+		if err := os.WriteFile(in.settings, data, 0o600); err != nil {
+			return err
+		}
+		if err := w.startInstance(in); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startInstance starts the process of an instance.
+func (w *world) startInstance(in *instance) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	cmd := exec.Command(w.program, "serve", "--settings", in.settings)
+	cmd.Stdout, cmd.Stderr = in.log, in.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	in.cmd, in.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process of an instance.
+func (in *instance) signal(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	switch s {
+	case syscall.SIGTERM:
+		in.termAt = time.Now()
+	case syscall.SIGHUP:
+	default:
+		in.hurtAt = time.Now()
+	}
+	_ = in.cmd.Process.Signal(s)
+}
+
+// restart waits for the process to end, kills it if that takes too long, and starts it
+// again.
+func (w *world) restart(in *instance) {
+	in.mu.Lock()
+	exited := in.exited
+	in.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(7 * time.Second):
+		w.checks.fail("%s still runs 7s after SIGTERM", in.name)
+		in.signal(syscall.SIGKILL)
+		<-exited
+	}
+	if err := w.startInstance(in); err != nil {
+		w.checks.fail("%s does not start: %v", in.name, err)
+	}
+}
+
+// disturbed reports whether an instance was killed, stopped or told to leave since a time.
+func (in *instance) disturbed(since time.Time) (hurt, leaving bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.hurtAt.After(since.Add(-time.Second)), in.termAt.After(since.Add(-8 * time.Second))
+}
+
+// close ends all processes and stand-ins.
+func (w *world) close() {
+	for _, in := range w.nodes {
+		in.mu.Lock()
+		if in.cmd != nil {
+			_ = in.cmd.Process.Kill()
+			<-in.exited
+		}
+		in.mu.Unlock()
+		in.store.close()
+		_ = in.log.Close()
+	}
+	for _, b := range w.backends {
+		b.Close()
+		b.proxy.close()
+	}
+	w.store.Close()
+}
--- a/io/pass/front.go
+++ b/io/pass/front.go
@@ -64,6 +64,9 @@
 		f.answer(w, c)
 	case event.RoutedRefusal:
 		f.refuse(w, c)
+	default:
+		// The caller is gone. Returning would make net/http write an empty success.
+		panic(http.ErrAbortHandler)
 	}
 }
 
