--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -113,10 +113,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.status = status
-	switch {
-	case status == http.StatusOK:
+	switch status {
+	case http.StatusOK:
 		c.answered++
-	case status == http.StatusServiceUnavailable:
+	case http.StatusServiceUnavailable:
 		c.refused++
 	default:
 		c.failed++
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -83,7 +83,7 @@
 	// clientsPerInstance is the number of clients, half of which keep their connections.
 	clientsPerInstance = 4
 	// clientPause is the wait of a client between two requests.
-	clientPause = 15 * time.Millisecond
+	clientPause = 60 * time.Millisecond
 	// calmTime is how long after the last fault all must be well again.
 	calmTime = 4 * time.Second
 )
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // mode is what a proxy does to its connections.
@@ -22,8 +24,6 @@
 	refuse
 )
 
-var modeNames = map[mode]string{pass: "pass", slow: "slow", silent: "silent", oneWay: "one-way", refuse: "refuse"}
-
 // slowBy is the delay of slow connections.
 const slowBy = 150 * time.Millisecond
 
@@ -144,7 +144,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				resetConn(to)
 			} else {
 				_ = to.Close()
