--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -72,6 +72,8 @@
 	w.checks.mu.Lock()
 	w.checks.sent[id] = s
 	w.checks.mu.Unlock()
+	pid := in.pid()
+	before := waits(pid)
 	began := time.Now()
 	reply, err := client.Do(r)
 	var data []byte
@@ -95,7 +97,8 @@
 		return false
 	}
 	if took > routeTimeout+clientSlack && !hurt {
-		w.checks.fail("request %s to %s was answered after %v", id, in.name, took)
+		w.checks.fail("request %s to %s was answered after %v; a thread of the instance waited %v for a processor meanwhile",
+			id, in.name, took, starved(before, waits(pid)))
 	}
 	w.checks.count(s, reply.StatusCode)
 	if reply.StatusCode/100 != 2 {
--- /dev/null
+++ b/internal/soak/sched.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// waits returns how long each thread of a process has waited for a processor since its
+// start, by thread, as the kernel counts it. It is empty when that can't be read.
+func waits(pid int) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	files, err := filepath.Glob("/proc/" + strconv.Itoa(pid) + "/task/*/schedstat")
+	if err != nil {
+		return out
+	}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			// The thread has ended.
+			continue
+		}
+		if fields := strings.Fields(string(data)); len(fields) >= 2 {
+			ns, _ := strconv.ParseInt(fields[1], 10, 64)
+			out[f] = time.Duration(ns)
+		}
+	}
+	return out
+}
+
+// starved returns the longest that one thread waited for a processor between two readings.
+func starved(before, after map[string]time.Duration) (longest time.Duration) {
+	for f, d := range after {
+		longest = max(longest, d-before[f])
+	}
+	return longest
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -225,6 +225,13 @@
 	return nil
 }
 
+// pid returns the number of the process of an instance.
+func (in *instance) pid() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.cmd.Process.Pid
+}
+
 // signal sends a signal to the process of an instance.
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
