--- a/core/event/relay.go
+++ b/core/event/relay.go
@@ -17,9 +17,6 @@
 	Path string
 	// Patience is how long the caller waits; zero means that it did not say.
 	Patience time.Duration
-	// Fingerprint is equal for two requests with the same method, target, caller and
-	// body.
-	Fingerprint model.Fingerprint
 }
 
 // Reply is the whole reply of one backend server to one exchange.
--- a/io/pass/back.go
+++ b/io/pass/back.go
@@ -1,6 +1,7 @@
 package pass
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -191,7 +192,7 @@
 		URL: &url.URL{Scheme: "http", Host: c.Address, Opaque: r.Target},
 	}
 	if len(r.Body) > 0 {
-		out.Body = io.NopCloser(newReader(r.Body))
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
 		out.ContentLength = int64(len(r.Body))
 	}
 	return out
--- a/io/pass/front.go
+++ b/io/pass/front.go
@@ -1,7 +1,6 @@
 package pass
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"hyssoppitch/core/event"
@@ -44,8 +42,6 @@
 // NewFront returns the interface to callers.
 func NewFront(names Names, a Asker) *Front { return &Front{names: names, asker: a} }
 
-func newReader(b []byte) *bytes.Reader { return bytes.NewReader(b) }
-
 // ServeHTTP implements http.Handler. It takes any path: which exist is decided by the
 // routes.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -100,7 +96,7 @@
 		Header: endToEnd(r.Header), Body: body, Name: r.Header.Get(f.names.Request),
 	}
 	routed = event.RoutedRequest{
-		Name: raw.Name, Host: hostOnly(r.Host), Path: pathOf(r.RequestURI), Fingerprint: fingerprint(raw),
+		Name: raw.Name, Host: hostOnly(r.Host), Path: pathOf(r.RequestURI),
 	}
 	if text := r.Header.Get(f.names.Patience); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -136,17 +132,6 @@
 	return path
 }
 
-// fingerprint identifies a request by its method, target and body.
-func fingerprint(r *Request) model.Fingerprint {
-	d := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(r.Body)
-	return model.Fingerprint(d.Sum64())
-}
-
 // answer writes a reply as it came, or a merged answer.
 func (f *Front) answer(w http.ResponseWriter, a event.RoutedAnswer) {
 	h := w.Header()
