Soak: take off the time in which an instance got no processor

The check of the time to an answer takes that time off, and the check of the recovery is repeated only while it is seen.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -96,9 +96,11 @@
 		}
 		return false
 	}
-	if took > routeTimeout+clientSlack && !hurt {
-		w.checks.fail("request %s to %s was answered after %v; a thread of the instance waited %v for a processor meanwhile",
-			id, in.name, took, starved(before, waits(pid)))
+	// Seeds 7, 8 and 33 showed instances whose threads got no processor for 2.5 s on a
+	// machine with more to do than it has processors: that time is not the program's.
+	waited := starved(before, waits(pid))
+	if took-waited > routeTimeout+clientSlack && !hurt {
+		w.checks.fail("request %s to %s was answered after %v; a thread of the instance waited %v for a processor meanwhile", id, in.name, took, waited)
 	}
 	w.checks.count(s, reply.StatusCode)
 	if reply.StatusCode/100 != 2 {
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -169,22 +169,38 @@
 	}
 }
 
+const (
+	// recoveryTries is the number of requests to each instance, all but one of which must be
+	// answered in full, and recoveryRounds how often that is tried while the machine leaves
+	// the instance without a processor for longer than starvedFor.
+	recoveryTries  = 20
+	recoveryRounds = 6
+	starvedFor     = 50 * time.Millisecond
+)
+
 // checkRecovered checks that every instance serves the newest version in full.
 func (w *world) checkRecovered() {
-	const tries = 20
 	w.mu.Lock()
 	path := w.config.Routes[1].Prefix
 	w.mu.Unlock()
 	c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for i, in := range w.nodes {
-		full := 0
-		for k := range tries {
-			if w.ask(c, in, fmt.Sprintf("r%d-%d", i, k), path, false) {
-				full++
+		for round := range recoveryRounds {
+			before, full := waits(in.pid()), 0
+			for k := range recoveryTries {
+				if w.ask(c, in, fmt.Sprintf("r%d-%d-%d", i, round, k), path, false) {
+					full++
+				}
+			}
+			if full >= recoveryTries-1 {
+				break
+			}
+			waited := starved(before, waits(in.pid()))
+			if waited < starvedFor || round == recoveryRounds-1 {
+				w.checks.fail("%s: %d of %d requests to the newest route %s were answered in full, %v after the last fault; a thread waited %v for a processor",
+					in.name, full, recoveryTries, path, calmTime, waited)
+				break
 			}
-		}
-		if full < tries-1 {
-			w.checks.fail("%s: %d of %d requests to the newest route %s were answered in full, %v after the last fault", in.name, full, tries, path, calmTime)
 		}
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,7 +6,10 @@
 )
 
 // regressions are seeds that failed once, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	4, // A request crossed the closing of a listener; see sent.crossed.
+	8, // An instance got no processor for 2.5 s; see starved.
+}
 
 // TestSoak plays two seeds and those that failed once, with real processes.
 func TestSoak(t *testing.T) {
