Relay: reserve the network time of each caller for its answer

Cause: an answer left 10 ms before the route's target for every caller. A caller 3 ms away that opens a connection needs four delays, 12 ms, and got answers at the target late; one 16 ms away always did. Ruled out: a larger constant, which takes time from near callers.

Change: the kernel's round-trip time of an accepted connection (TCP_INFO) gives the network time of its requests: two round trips for the first, one for the next ones, plus 6 ms for processing, at most half of the target. Where there is no measurement, 10 ms as before. The log counts an answer as late by the same time.

--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -17,6 +17,10 @@
 	Path string
 	// CallerTimeout is how long the caller waits; zero means not stated.
 	CallerTimeout time.Duration
+	// NetworkTime is how much of the caller's waiting time passes in the network: the setup
+	// of a new connection and the transfer of the request and its answer. Zero means that
+	// it is unknown.
+	NetworkTime time.Duration
 	// Fingerprint is the same for requests that differ only in RequestID and
 	// CallerTimeout.
 	Fingerprint model.Fingerprint
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -10,11 +10,16 @@
 )
 
 const (
-	// replyMargin is subtracted from the caller's timeout for the transfer of the answer.
-	replyMargin = 10 * time.Millisecond
-	// targetMargin is subtracted from a route's target for the setup of the caller's
-	// connection and the transfer of the request and its answer.
-	targetMargin = 10 * time.Millisecond
+	// processingMargin is the time that is reserved to merge and write an answer and for
+	// timers that fire late.
+	processingMargin = 6 * time.Millisecond
+	// assumedNetworkTime is assumed for a caller whose network time is unknown: two round
+	// trips of a caller in the same data centre.
+	assumedNetworkTime = 4 * time.Millisecond
+	// maxMarginFraction is the maximum fraction of a timeout or target that is subtracted
+	// for network and processing. A caller that is so far away gets its answer late; it
+	// would be of little use if almost no time were left for the backend servers.
+	maxMarginFraction = 0.5
 	// holdInterval is the delay before the admission of a held request is retried.
 	// maxHoldFraction is the fraction of the route's target after which it is refused, as
 	// its answer would be late.
@@ -44,7 +49,7 @@
 		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
 		return
 	}
-	q.AnswerBy = now.Add(s.answerTimeout(q) - replyMargin)
+	q.AnswerBy = now.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
 	s.createLegs(q)
 	for i := range q.Legs {
 		// Refused requests count as well: the budget is a fraction of the requests received.
@@ -57,7 +62,7 @@
 	s.requests[r.Query] = q
 	s.timers.Set(q.AnswerBy, timerEvent{kind: timerDeadline, request: r.Query})
 	if q.gathers() && q.Route.Target > 0 {
-		s.timers.Set(now.Add(max(minAnswerTime, q.Route.Target-targetMargin)), timerEvent{kind: timerTarget, request: r.Query})
+		s.timers.Set(now.Add(max(minAnswerTime, timeAtInstance(r, q.Route.Target))), timerEvent{kind: timerTarget, request: r.Query})
 	}
 	s.admit(now, q)
 }
@@ -122,8 +127,8 @@
 	return nil, fmt.Sprintf("%d of %d groups have capacity, group %q has none", withCapacity, len(q.Legs), full)
 }
 
-// answerTimeout returns the maximum time from the arrival of a request to the receipt of
-// its answer by the caller.
+// answerTimeout returns the maximum time for which the caller of a request waits, from its
+// attempt to connect to the receipt of the answer.
 func (s *System) answerTimeout(q *Request) time.Duration {
 	d := maxAnswerTime
 	if q.CallerTimeout > 0 {
@@ -132,7 +137,17 @@
 	if q.Route.Timeout > 0 {
 		d = min(d, q.Route.Timeout)
 	}
-	return max(d, replyMargin+minAnswerTime)
+	return d
+}
+
+// timeAtInstance returns the part of a caller's waiting time that this instance may use:
+// all but the network time and processingMargin.
+func timeAtInstance(r event.RoutedRequest, wait time.Duration) time.Duration {
+	networkTime := r.NetworkTime
+	if networkTime == 0 {
+		networkTime = assumedNetworkTime
+	}
+	return wait - min(networkTime+processingMargin, time.Duration(maxMarginFraction*float64(wait)))
 }
 
 // createLegs creates the legs of a request.
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -53,9 +53,9 @@
 }
 
 // logSeverity returns the log severity of an answered request: LogImpaired if the answer is
-// partial or later than the route's target.
+// partial or reaches the caller later than the route's target.
 func (s *System) logSeverity(now time.Time, q *Request, full bool) event.LogSeverity {
-	if !full || (q.Route.Target > 0 && now.Sub(q.ArrivedAt) > q.Route.Target) {
+	if !full || (q.Route.Target > 0 && now.Sub(q.ArrivedAt)+q.NetworkTime > q.Route.Target) {
 		return event.LogImpaired
 	}
 	return event.LogOrdinary
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -398,3 +398,40 @@
 	w.checkInvariants(t)
 	t.Logf("credit %.3f, counters %+v", w.meanCredit(), w.Counters)
 }
+
+// TestAnswersReachDistantCallersInTime checks that answers without the parts of paused servers
+// leave early enough to reach callers within the target, whether the callers are near or far,
+// and no earlier than that requires. Every server pauses for 400 ms in each 2 s, so that
+// hardly any request gets all parts within the target.
+func TestAnswersReachDistantCallersInTime(t *testing.T) {
+	const target = 150 * ms
+	for _, delay := range []time.Duration{ms, 3 * ms, 16 * ms} {
+		t.Run(delay.String(), func(t *testing.T) {
+			route := gatherRoute()
+			route.LeastCoverage = 0.2
+			w := newSimulation(5, 10, route)
+			w.callerDelay = delay
+			w.eachServer(func(i int, s *simServer) {
+				s.pauseEvery, s.pauseFor = 2000*ms, 400*ms
+				s.pauseAt = time.Duration(i*997%2000) * ms
+			})
+			w.runLoad(30, 10*time.Second)
+			inTime, early := 0, 0
+			for _, r := range w.results {
+				atCaller := r.took + 4*delay
+				if r.refusal == "" && atCaller <= target {
+					inTime++
+				}
+				if r.parts < 10 && atCaller < target-10*ms {
+					early++
+				}
+			}
+			if got, want := float64(inTime)/float64(len(w.results)), 0.99; got < want {
+				t.Errorf("answers at the caller within %v: got %.3f, want %.2f or more", target, got, want)
+			}
+			if early > 0 {
+				t.Errorf("partial answers that reach the caller over 10ms before the target: got %d of %d, want 0", early, len(w.results))
+			}
+		})
+	}
+}
--- a/core/relay/simulation_test.go
+++ b/core/relay/simulation_test.go
@@ -61,6 +61,9 @@
 	serviceTime time.Duration
 	// remoteDelay is the one-way network delay to servers in other data centres.
 	remoteDelay time.Duration
+	// callerDelay is the one-way network delay to the callers, which open a new connection for
+	// each request; zero means that it is unknown to the system.
+	callerDelay time.Duration
 	askedAt     map[event.QueryID]time.Time
 	results     []result
 	requestLogs []event.RequestLog
@@ -312,6 +315,7 @@
 	w.askedAt[w.lastID], w.fingerprints[w.lastID] = w.now, f
 	w.HandleRequest(w.now, event.RoutedRequest{
 		Query: w.lastID, RequestID: fmt.Sprint(w.lastID), Host: "h", Path: "/a/x", CallerTimeout: 2500 * ms, Fingerprint: f,
+		NetworkTime: 4 * w.callerDelay,
 	})
 	return w.lastID
 }
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -11,6 +11,7 @@
 	"hyssoppitch/core/engine"
 	"hyssoppitch/core/event"
 	"hyssoppitch/io/front"
+	"hyssoppitch/io/pass"
 	"hyssoppitch/io/wait"
 )
 
@@ -39,7 +40,9 @@
 	defer func() {
 		n.log.Info().Str("instance", string(n.self.ID)).Err(err).Msg("instance-stopped")
 	}()
-	callers := &http.Server{Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{
+		Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: pass.ConnContext,
+	}
 	control := &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.peers.SetPeers(n.ctx, n.settings.Seeds)
 
--- a/io/pass/callers.go
+++ b/io/pass/callers.go
@@ -113,6 +113,7 @@
 	}
 	routed = event.RoutedRequest{
 		RequestID: raw.RequestID, Host: normalizeHost(r.Host), Path: pathOf(r.RequestURI), Fingerprint: f.fingerprint(raw),
+		NetworkTime: networkTime(r.Context()),
 	}
 	if text := r.Header.Get(f.names.CallerTimeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -464,3 +464,37 @@
 		})
 	}
 }
+
+// networkTimeRecorder is an executor that records the network time of each request.
+type networkTimeRecorder struct{ got []time.Duration }
+
+func (x *networkTimeRecorder) ExecuteRouted(_ context.Context, r event.RoutedRequest, _ *pass.Request) event.Command {
+	x.got = append(x.got, r.NetworkTime)
+	return event.RoutedRefusal{Code: event.RefuseOverload, Outcome: event.OutcomeNotRun, Detail: "test"}
+}
+func (x *networkTimeRecorder) CallerLimits() model.CallerLimits { return model.CallerLimits{} }
+func (x *networkTimeRecorder) Leaving() bool                    { return false }
+
+// TestNetworkTimeIncludesSetupOfNewConnection checks that the network time of the first request
+// on a connection is two round trips, and that of the next one a single round trip.
+func TestNetworkTimeIncludesSetupOfNewConnection(t *testing.T) {
+	x := &networkTimeRecorder{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: pass.NewCallerHandler(names, x), ConnContext: pass.ConnContext, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	for range 2 {
+		reply, err := http.Get("http://" + l.Addr().String() + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, reply.Body)
+		_ = reply.Body.Close()
+	}
+	if len(x.got) != 2 || x.got[0] <= 0 || x.got[0] != 2*x.got[1] {
+		t.Errorf("network times of two requests on a connection: got %v, want twice a round trip and one", x.got)
+	}
+}
