Backends: bound replies without end in bytes; name a cut store value an error

Cause: a reply's status line and headers were read without a limit: a test with a server that sends a status line without end had the kernel kill the process. A body was limited to 16 MiB, but all bodies that are read at once were not, which is more than an instance's memory.

Ruled out: a deadline alone; a link fills the memory long before it.

Change: 64 KiB for the head of a reply with its interim replies, 16 MiB for a body including chunk extensions and trailers, 32 MiB for all bodies being read, of which the first 64 KiB each don't count. Beyond, the exchange ends as a bad reply, the connection closes and the server counts as failing. Heads of the store's and of the declared servers' replies are limited as well, and a store value beyond the limit is an error where it was cut short.

--- a/io/back/back.go
+++ b/io/back/back.go
@@ -27,6 +27,8 @@
 const (
 	// maxReplyBytes is the maximum size of a reply's body.
 	maxReplyBytes = 4 << 20
+	// maxHeadBytes is the maximum size of a reply's headers.
+	maxHeadBytes = 64 << 10
 	// idleTimeout is how long an unused connection is kept open.
 	idleTimeout = 90 * time.Second
 	// dialTimeout limits the time to open a connection.
@@ -65,7 +67,8 @@
 				}
 				return &countingConn{Conn: c, onClosed: func() { onLost(address) }}, nil
 			},
-			MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxConnsPerHost:        connections, MaxIdleConnsPerHost: connections,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
 		},
 	}
--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -65,6 +65,22 @@
 	keepUntil time.Time
 	// written counts the bytes that were passed to the connection.
 	written atomic.Int64
+	// readLimit is the number of bytes that may still be read in this phase of the exchange.
+	readLimit int
+}
+
+// limitReads sets the number of bytes that may be read from the connection from now on.
+// Bytes that are in the read buffer already don't count.
+func (c *conn) limitReads(n int) { c.readLimit = n }
+
+// Read implements net.Conn. It fails with a malformedError once the limit is exceeded.
+func (c *conn) Read(b []byte) (n int, err error) {
+	if c.readLimit <= 0 {
+		return 0, malformedError{errors.New("the reply has too many bytes for its status line, headers or body")}
+	}
+	n, err = c.Conn.Read(b[:min(len(b), c.readLimit)])
+	c.readLimit -= n
+	return n, err
 }
 
 // Write implements net.Conn. It counts bytes as written before it passes them to the
@@ -96,7 +112,9 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c = &conn{Conn: raw, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // acquire counts one more connection to an address as in use.
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,8 +17,18 @@
 	"hyssoppitch/core/event"
 )
 
-// maxReplyBytes is the maximum size of a reply's body.
-const maxReplyBytes = 16 << 20
+const (
+	// maxHeadBytes is the maximum size of a reply's status line and headers, including those
+	// of interim replies before it.
+	maxHeadBytes = 64 << 10
+	// maxReplyBytes is the maximum size of a reply's body.
+	maxReplyBytes = 16 << 20
+	// maxPendingBytes is the maximum size of all bodies together that are being read. The
+	// first unreservedBytes of each body don't count, so that replies of usual size are not
+	// affected by large ones.
+	maxPendingBytes = 32 << 20
+	unreservedBytes = 64 << 10
+)
 
 // BackendClient sends requests to backend servers and reads their replies. It is safe for
 // concurrent use.
@@ -25,6 +36,9 @@
 	names    HeaderNames
 	clock    Clock
 	connPool *connPool
+	// pendingBytes is the size of the bodies that are being read, as limited by
+	// maxPendingBytes.
+	pendingBytes atomic.Int64
 
 	mu     sync.Mutex
 	cancel map[event.AttemptID]context.CancelFunc
@@ -164,6 +178,8 @@
 	if err := out.Write(conn); err != nil {
 		return nil, nil, errors.Wrap(err, "write request")
 	}
+	conn.limitReads(maxHeadBytes)
+	defer conn.limitReads(0)
 	for {
 		reply, err = http.ReadResponse(conn.reader, out)
 		if err != nil {
@@ -173,19 +189,58 @@
 			break
 		}
 	}
-	body, err = io.ReadAll(io.LimitReader(reply.Body, maxReplyBytes+1))
+	conn.limitReads(maxReplyBytes + maxHeadBytes)
+	body, err = b.readBody(reply.Body)
 	if err != nil {
 		return nil, nil, wrapReadError(err, "read body of reply")
 	}
+	return reply, body, nil
+}
+
+// readBody reads the body of a reply. Servers in trouble may send bytes without end, so the
+// body is limited, and so are all bodies together.
+func (b *BackendClient) readBody(r io.Reader) (body []byte, err error) {
+	reader := &reservingReader{r: r, pending: &b.pendingBytes}
+	defer reader.release()
+	body, err = io.ReadAll(io.LimitReader(reader, maxReplyBytes+1))
 	if len(body) > maxReplyBytes {
-		return nil, nil, malformedError{errors.Newf("the reply's body is longer than %d bytes", maxReplyBytes)}
+		return nil, malformedError{errors.Newf("the reply's body is longer than %d bytes", maxReplyBytes)}
 	}
-	return reply, body, nil
+	return body, err
+}
+
+// reservingReader counts the bytes of one body in pending until release is called. It fails
+// when pending exceeds maxPendingBytes.
+type reservingReader struct {
+	r       io.Reader
+	pending *atomic.Int64
+	// read counts the bytes of the body, and reserved those that are counted in pending.
+	read, reserved int64
 }
 
+// Read implements io.Reader.
+func (r *reservingReader) Read(b []byte) (n int, err error) {
+	n, err = r.r.Read(b)
+	r.read += int64(n)
+	if more := r.read - unreservedBytes - r.reserved; more > 0 {
+		r.reserved += more
+		if r.pending.Add(more) > maxPendingBytes {
+			return n, malformedError{errors.Newf("the bodies that are being read are longer than %d bytes together", maxPendingBytes)}
+		}
+	}
+	return n, err
+}
+
+// release uncounts the bytes of the body.
+func (r *reservingReader) release() { r.pending.Add(-r.reserved) }
+
 // wrapReadError wraps an error of reading a reply. Any error but that of a broken
 // connection becomes a malformedError. step says what was read.
 func wrapReadError(err error, step string) error {
+	var malformed malformedError
+	if errors.As(err, &malformed) {
+		return errors.Wrap(err, step)
+	}
 	var netErr net.Error
 	if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return errors.Wrap(err, step)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -31,6 +31,9 @@
 // maxValueBytes is the maximum number of bytes that are read of a reply's body.
 const maxValueBytes = 2 << 20
 
+// maxHeadBytes is the maximum size of a reply's headers.
+const maxHeadBytes = 64 << 10
+
 // Errors that callers distinguish. After any other error of a write, the write may or may
 // not have taken effect.
 var (
@@ -62,7 +65,7 @@
 // New returns a client of the store at an address of the form IP:port.
 func New(address string) *Client {
 	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 8, DisableCompression: true,
+		MaxIdleConnsPerHost: 8, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
@@ -117,10 +120,13 @@
 		return v, err
 	}
 	defer func() { _ = reply.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxValueBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxValueBytes+1))
 	if err != nil {
 		return v, err
 	}
+	if len(body) > maxValueBytes {
+		return v, errors.Newf("the reply's body is longer than %d bytes", maxValueBytes)
+	}
 	v.Revision, _ = strconv.ParseInt(reply.Header.Get(HeaderRevision), 10, 64)
 	switch reply.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +106,18 @@
 		})
 	}
 }
+
+// TestStoreReplyTooLong checks that a value that is longer than the limit is an error, and is
+// not returned cut short.
+func TestStoreReplyTooLong(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Store-Revision", "7")
+		_, _ = w.Write(make([]byte, 2<<20+1))
+	}))
+	defer s.Close()
+	c := store.New(strings.TrimPrefix(s.URL, "http://"))
+	defer c.Close()
+	if v, err := c.Get(context.Background(), "k"); err == nil {
+		t.Errorf("value of 2 MiB and one byte: got %d bytes and no error, want an error", len(v.Data))
+	}
+}
