Directory: get it from peers at a start; one reader in each data centre

Each instance listed the whole directory when it started, in some 14 pages, although peers had it. Each instance also took itself for the reader of its data centre if none of its few linked peers ranked higher: in virtual time 38 of 118 instances read it, not 6.

Ruled out: flooding over all links (bytes between regions).

Change: a reader starts inactive. Seeds list at once; others ask peers of their data centre, later any peer, and list after 0.9 s plus a random part. A peer without a copy says so and gives notice once it has one. The reader is the first of all live members of the data centre; the next ones take over one after the other. Updates name their reader, so that a reader learns of an earlier one. The first watch after a change of readers doesn't wait. After a failed list at a start the next one is delayed longer if there are peers.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -10,10 +11,15 @@
 )
 
 const (
-	// peerUpdateTimeout is the time without an update from a peer after which an instance
-	// reads the directory itself. Instances that read it send an update about once a
-	// second.
+	// peerUpdateTimeout is the time without an update from a peer after which the second
+	// instance in the order of readers reads the directory as well. Instances that read it
+	// send an update about once a second.
 	peerUpdateTimeout = 1600 * time.Millisecond
+	// takeoverDelay is added to peerUpdateTimeout for each further instance in the order of
+	// readers, up to maxTakeoverDelay, so that they don't all begin at once. It is the
+	// interval at which the source is chosen.
+	takeoverDelay    = maintenanceInterval
+	maxTakeoverDelay = 2 * time.Second
 	// directoryStaleAfter is the age of the local copy after which peers are asked for a
 	// newer one. It exceeds the time between two answers of the directory.
 	directoryStaleAfter = 2500 * time.Millisecond
@@ -24,15 +30,48 @@
 	// The answer may be on its way, and it is as large as the directory.
 	minDirectoryRequestInterval = 200 * time.Millisecond
 	// minForwardFreshness is how much more recent an update without changes must be than
-	// the previous one to be forwarded.
+	// the previous one of the same reader to be forwarded.
 	minForwardFreshness = 300 * time.Millisecond
+	// readerTTL is how long a reader is remembered after its last update.
+	readerTTL = 10 * time.Second
+	// startListDelay is the time after its start at which an instance without the directory
+	// reads it itself, unless it reads it first. A random time of up to startListJitter is
+	// added. The same times apply after a failed read.
+	startListDelay  = 900 * time.Millisecond
+	startListJitter = 500 * time.Millisecond
+	// remoteRequestDelay is the time after its start at which the first instance in the order
+	// of readers asks a peer of another data centre for the directory; the others ask after
+	// twice that time, as they get it from the first one.
+	remoteRequestDelay = 400 * time.Millisecond
+	// startCheckInterval and startRequestInterval are the intervals at which an instance
+	// without a copy checks whether to read the directory itself, and asks a peer for it.
+	startCheckInterval   = 100 * time.Millisecond
+	startRequestInterval = 300 * time.Millisecond
+	// maxStartListDelay limits startListDelay, which doubles after each failed read while
+	// there are peers that may send the directory.
+	maxStartListDelay = 4 * startListDelay
+	// membershipSettleTime is the time after the start within which an instance that got the
+	// directory from a peer doesn't become a reader: it doesn't know all members yet.
+	membershipSettleTime = 2500 * time.Millisecond
 )
 
-// directorySync tracks the local copy of the directory. In each data centre one
-// instance, chosen by rendezvous hashing, reads the directory and sends updates to the
-// others there. An instance without an update for peerUpdateTimeout reads it too;
-// several concurrent readers cost extra calls and are otherwise harmless.
+// directorySync tracks the local copy of the directory. In each data centre one instance,
+// the first in the order of readers, reads the directory and sends updates to the others
+// there. The order is by rendezvous hashing. Without updates the next ones in the order read
+// it too; several concurrent readers cost extra calls and are otherwise harmless.
+//
+// A new instance gets the directory from its peers, except for the first readers. It reads
+// the directory itself if no peer has sent it in time.
 type directorySync struct {
+	// readsFirst is set on an instance that reads the directory as soon as it starts.
+	readsFirst bool
+	// startedAt is when the instance started, and listAt when it reads the directory itself
+	// if it has no copy by then.
+	startedAt, listAt time.Time
+	// listDelay is the delay before listAt without its random part.
+	listDelay time.Duration
+	// checkAt is when the source is chosen again while there is no copy.
+	checkAt time.Time
 	// revision is the revision of the local copy; zero if there is none.
 	revision uint64
 	// baseRevision is the revision of the last change: there are no changes between it
@@ -42,12 +81,18 @@
 	asOf time.Time
 	// peerAsOf is the latest such time that a peer reported.
 	peerAsOf time.Time
+	// earlierReaderAsOf is the latest such time that a reader reported that is earlier in the
+	// order of readers than this instance, and readers the latest one of each reader.
+	earlierReaderAsOf time.Time
+	readers           map[model.InstanceID]time.Time
 	// active is set while this instance reads the directory itself.
 	active bool
 	// requestedAt is when a peer was last asked for the directory.
 	requestedAt time.Time
 	// requests counts the requests, to ask a different peer each time.
 	requests int
+	// waiting holds the peers that asked for the directory when there was no local copy.
+	waiting map[model.InstanceID]bool
 }
 
 // DirectoryRevision returns the revision of the local copy of the directory, and a time
@@ -60,27 +105,115 @@
 // asks a peer for it if the local copy may be stale.
 func (e *Engine) chooseDirectorySource(now time.Time) {
 	s := &e.directory
-	peers := e.dataCentrePeers()
-	ids := make([]model.InstanceID, 0, len(peers)+1)
-	ids = append(append(ids, peers...), e.Self.ID)
-	active := !e.Roster.Loaded() || route.Owner("directory", ids) == e.Self.ID || now.Sub(s.peerAsOf) > peerUpdateTimeout
-	if active != s.active {
-		s.active = active
-		e.Emit(event.FollowDirectory{Active: active, Revision: s.revision})
-		to, cause := "peers", "another instance of the data centre reads it"
-		switch {
-		case active && s.peerAsOf.IsZero():
-			to, cause = "directory", "no update from peers yet"
-		case active:
-			to, cause = "directory", fmt.Sprintf("last update from peers %s ago", now.Sub(s.peerAsOf).Round(time.Millisecond))
+	switch active, cause := e.shouldReadDirectory(now); {
+	case active && !s.active:
+		s.active = true
+		e.Emit(event.FollowDirectory{Active: true, Revision: s.revision})
+		e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "directory", Cause: cause})
+	case !active && s.active:
+		e.stopReadingDirectory(cause)
+	}
+	interval := directoryRequestInterval
+	if !e.Roster.Loaded() {
+		interval = startRequestInterval
+		s.checkAt = now.Add(startCheckInterval)
+	}
+	if e.directoryMayBeStale(now) && now.Sub(s.requestedAt) >= interval {
+		if peers := e.directoryPeers(now); len(peers) > 0 {
+			e.requestDirectory(now, peers[s.requests%len(peers)])
 		}
-		e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: to, Cause: cause})
 	}
-	if e.directoryMayBeStale(now) && now.Sub(s.requestedAt) >= directoryRequestInterval {
-		if linked := e.Members.Linked(); len(linked) > 0 {
-			e.requestDirectory(now, linked[s.requests%len(linked)])
+}
+
+// stopReadingDirectory leaves the reading of the directory to peers.
+func (e *Engine) stopReadingDirectory(cause string) {
+	e.directory.active = false
+	e.Emit(event.FollowDirectory{Active: false, Revision: e.directory.revision})
+	e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "peers", Cause: cause})
+}
+
+// shouldReadDirectory decides whether this instance reads the directory itself, and returns
+// the reason.
+func (e *Engine) shouldReadDirectory(now time.Time) (active bool, cause string) {
+	s := &e.directory
+	if !e.Roster.Loaded() {
+		if s.readsFirst || !now.Before(s.listAt) {
+			return true, "no copy from peers yet"
+		}
+		return false, "peers are asked first"
+	}
+	rank := e.readerRank()
+	takeover := peerUpdateTimeout + min(time.Duration(max(rank-1, 0))*takeoverDelay, maxTakeoverDelay)
+	age := now.Sub(s.peerAsOf)
+	switch {
+	case rank == 0 && (s.active || now.Sub(s.startedAt) > membershipSettleTime):
+		return true, "first in the order of readers"
+	case s.active && now.Sub(s.earlierReaderAsOf) <= peerUpdateTimeout:
+		return false, "an instance that is earlier in the order of readers reads it"
+	case s.active:
+		return true, "no instance that is earlier in the order of readers reads it"
+	case age > takeover:
+		return true, fmt.Sprintf("last update from peers %s ago, number %d in the order of readers", age.Round(time.Millisecond), rank+1)
+	}
+	return false, "another instance of the data centre reads it"
+}
+
+// readerOrder returns the order of readers of this data centre. All live members count, with
+// or without a link to this instance.
+func (e *Engine) readerOrder() []model.InstanceID {
+	var local []model.InstanceID
+	for _, m := range e.Members.Rows() {
+		if m.IsLive() && m.DataCentre == e.Self.DataCentre {
+			local = append(local, m.ID)
+		}
+	}
+	return route.RankedOwners("directory", local, len(local))
+}
+
+// readerRank returns the position of this instance in the order of readers; zero is the first.
+func (e *Engine) readerRank() int {
+	return max(0, slices.Index(e.readerOrder(), e.Self.ID))
+}
+
+// recordReader records an update that was read by an instance. It reports whether the update
+// is to be forwarded: each reader's updates are, as several readers would not learn of each
+// other otherwise.
+func (e *Engine) recordReader(reader model.InstanceID, asOf time.Time) (forward bool) {
+	s := &e.directory
+	if reader == e.Self.ID {
+		return false
+	}
+	order := e.readerOrder()
+	if at := slices.Index(order, reader); at >= 0 && at < slices.Index(order, e.Self.ID) && asOf.After(s.earlierReaderAsOf) {
+		s.earlierReaderAsOf = asOf
+	}
+	if s.readers == nil {
+		s.readers = map[model.InstanceID]time.Time{}
+	}
+	for id, at := range s.readers {
+		if asOf.Sub(at) > readerTTL {
+			delete(s.readers, id)
 		}
 	}
+	if asOf.Sub(s.readers[reader]) <= minForwardFreshness {
+		return false
+	}
+	s.readers[reader] = asOf
+	return true
+}
+
+// directoryPeers returns the linked peers that may be asked for the directory now. An
+// instance without a copy asks only those of its data centre at first, because links between
+// data centres are slow and the directory is large.
+func (e *Engine) directoryPeers(now time.Time) []model.InstanceID {
+	delay := remoteRequestDelay
+	if e.readerRank() > 0 {
+		delay *= 2
+	}
+	if !e.Roster.Loaded() && now.Sub(e.directory.startedAt) < delay {
+		return e.dataCentrePeers()
+	}
+	return e.Members.Linked()
 }
 
 // dataCentrePeers returns the other live instances of this data centre to which this
@@ -115,9 +248,28 @@
 	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Revision: s.revision}})
 }
 
-// sendDirectory sends the full local copy to a peer whose copy has an older revision.
+// scheduleList sets when this instance reads the directory itself if it gets no copy from
+// peers before.
+func (e *Engine) scheduleList(now time.Time, delay time.Duration) {
+	e.directory.listDelay = delay
+	e.directory.listAt = now.Add(delay + time.Duration(e.rand.Int64N(int64(startListJitter))))
+}
+
+// sendDirectory sends the full local copy to a peer whose copy has an older revision. If there
+// is no local copy yet, the peer is told so, and is notified later.
 func (e *Engine) sendDirectory(now time.Time, to model.InstanceID, revision uint64) {
-	if e.Roster == nil || !e.Roster.Loaded() || e.Relay.Table().Version == 0 || e.directory.revision <= revision {
+	if e.Roster == nil {
+		return
+	}
+	if !e.Roster.Loaded() || e.Relay.Table().Version == 0 {
+		if e.directory.waiting == nil {
+			e.directory.waiting = map[model.InstanceID]bool{}
+		}
+		e.directory.waiting[to] = true
+		e.Send(to, event.Message{Directory: &event.DirectoryUpdate{}})
+		return
+	}
+	if e.directory.revision <= revision {
 		return
 	}
 	changes := append(e.Roster.AllEntries(now), event.DirectoryChange{Key: "routing-table", Routing: e.Relay.Table()})
@@ -145,14 +297,30 @@
 		e.Roster.MarkReachable(now)
 	}
 	e.applyDirectory(now, v)
+	e.notifyWaitingPeers(now)
 	update := e.newDirectoryUpdate(now, v.Changes, false)
 	e.directory.recordChange(v)
 	if v.Full {
 		update = e.newRevisionNotice(now)
 	}
+	update.Reader = e.Self.ID
 	e.broadcastToDataCentre("", update)
 }
 
+// notifyWaitingPeers sends the current revision to the peers that asked for the directory when
+// there was no local copy. Those that lack it still will ask again.
+func (e *Engine) notifyWaitingPeers(now time.Time) {
+	if len(e.directory.waiting) == 0 || !e.Roster.Loaded() || e.Relay.Table().Version == 0 {
+		return
+	}
+	for _, id := range e.Members.Linked() {
+		if e.directory.waiting[id] {
+			e.Send(id, event.Message{Directory: e.newRevisionNotice(now)})
+		}
+	}
+	e.directory.waiting = nil
+}
+
 // newRevisionNotice returns an update with the current revision and without content. A
 // receiver that lacks the revision requests it. This avoids sending the full directory
 // to instances that already have most of it.
@@ -194,6 +362,18 @@
 	}
 }
 
+// checkDirectoryAtStart chooses the source of the directory more often than the periodic work
+// does while there is no copy. It returns when it must be called again, or the zero time.
+func (e *Engine) checkDirectoryAtStart(now time.Time) (due time.Time) {
+	if e.Roster == nil || e.Roster.Loaded() {
+		return time.Time{}
+	}
+	if !now.Before(e.directory.checkAt) {
+		e.chooseDirectorySource(now)
+	}
+	return e.directory.checkAt
+}
+
 // handleDirectoryUpdate applies a peer's update about the directory, and forwards it to
 // the data centre if it is new.
 func (e *Engine) handleDirectoryUpdate(now time.Time, from model.InstanceID, update *event.DirectoryUpdate) {
@@ -201,6 +381,11 @@
 		return
 	}
 	s := &e.directory
+	if update.Revision == 0 {
+		// The peer has no copy yet, so that another one may be asked.
+		s.requestedAt = time.Time{}
+		return
+	}
 	asOf := now.Add(-time.Duration(update.AgeMicros) * time.Microsecond)
 	newer := update.Revision > s.revision
 	if newer && !update.Full && update.BaseRevision > s.revision {
@@ -221,7 +406,7 @@
 	}
 	// An update of an older revision is not forwarded: it would not advance peerAsOf, and
 	// would circulate among the instances forever.
-	fresher := update.Revision >= s.revision && asOf.Sub(s.peerAsOf) > minForwardFreshness
+	fresher := update.Revision >= s.revision && e.recordReader(update.Reader, asOf)
 	if update.Revision >= s.revision && asOf.After(s.peerAsOf) {
 		s.peerAsOf = asOf
 		if asOf.After(s.asOf) {
@@ -234,12 +419,12 @@
 	switch {
 	case newer && update.Full:
 		e.broadcastToDataCentre(from, e.newRevisionNotice(now))
-	case newer || fresher:
+	case newer || (fresher && !update.Full):
 		e.broadcastToDataCentre(from, update)
 	}
-	if first && e.Roster.Loaded() {
-		// It may no longer be necessary to read the directory.
-		e.chooseDirectorySource(now)
+	e.notifyWaitingPeers(now)
+	if first && e.Roster.Loaded() && s.active {
+		e.stopReadingDirectory("a peer sent the directory")
 	}
 }
 
@@ -268,6 +453,14 @@
 
 // handleDirectoryUnreachable records that the directory does not answer this instance.
 func (e *Engine) handleDirectoryUnreachable(now time.Time, v event.DirectoryUnreachable) {
+	if s := &e.directory; !e.Roster.Loaded() && !s.readsFirst {
+		delay := startListDelay
+		if len(e.Members.Linked()) > 0 {
+			delay = min(2*s.listDelay, maxStartListDelay)
+		}
+		e.scheduleList(now, delay)
+		e.chooseDirectorySource(now)
+	}
 	if e.Roster.MarkUnreachable() {
 		e.Emit(event.StateChanged{Kind: "directory", Name: "directory", From: "reachable", To: "unreachable", Cause: v.Cause})
 		if linked := e.Members.Linked(); len(linked) > 0 {
--- a/core/engine/directory_test.go
+++ b/core/engine/directory_test.go
@@ -23,12 +23,14 @@
 // newRoutedInstance returns an instance in data centre dc0.
 func newRoutedInstance(id model.InstanceID) *routedInstance {
 	self := model.Instance{ID: id, Incarnation: 1, Address: "127.0.0.1:1", DataCentre: "dc0"}
-	return newRoutedInstanceAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), self)
+	return newRoutedInstanceAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), self, true)
 }
 
-func newRoutedInstanceAt(now time.Time, self model.Instance) *routedInstance {
+// newRoutedInstanceAt returns an instance that starts at the given time. It reads the directory
+// at once if readsFirst is set.
+func newRoutedInstanceAt(now time.Time, self model.Instance, readsFirst bool) *routedInstance {
 	r := &routedInstance{now: now}
-	r.Engine = engine.New(r.now, self, engine.Options{Seed: 1, Relay: &relay.Options{
+	r.Engine = engine.New(r.now, self, engine.Options{Seed: 1, ReadsDirectoryFirst: readsFirst, Relay: &relay.Options{
 		Regions: map[string]string{"dc0": "r0", "dc1": "r1"},
 		Retries: relay.RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
 	}})
@@ -223,7 +225,7 @@
 		r.link(other)
 		for range 20 {
 			r.advance(500 * time.Millisecond)
-			r.receiveUpdate(other, event.DirectoryUpdate{BaseRevision: 10, Revision: 10})
+			r.receiveUpdate(other, event.DirectoryUpdate{BaseRevision: 10, Revision: 10, Reader: other})
 		}
 		r.emitted = nil
 		r.advance(2500 * time.Millisecond)
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -51,6 +51,7 @@
 	Roster *roster.Table
 	Relay  *relay.System
 
+	rand      *rand.Rand
 	commands  []event.Command
 	config    configState
 	directory directorySync
@@ -87,6 +88,9 @@
 	ConnectionsPerServer int
 	// Relay makes the instance serve routed requests; nil means declared services.
 	Relay *relay.Options
+	// ReadsDirectoryFirst makes the instance read the directory as soon as it starts, so that
+	// others can get it from there. It is set on the seeds.
+	ReadsDirectoryFirst bool
 	// Seed makes random choices reproducible.
 	Seed uint64
 }
@@ -96,7 +100,10 @@
 	e := &Engine{
 		Self: self, Servers: &limit.Table{ConnectionsPerServer: o.ConnectionsPerServer}, Suspects: &poison.Table{},
 		Members: member.New(now, self), lastTick: now, storeContactAt: now,
+		rand:      rand.New(rand.NewPCG(o.Seed+2, uint64(self.Incarnation))),
+		directory: directorySync{readsFirst: o.ReadsDirectoryFirst, startedAt: now},
 	}
+	e.scheduleList(now, startListDelay)
 	e.Warm = &warm.Coordinator{Self: self.ID, Servers: e.Servers, Peers: e, LeaseExpiry: e.quorumLeaseEnd}
 	e.Claims = claim.NewLedger(self, e)
 	e.Queries = &query.System{
@@ -158,7 +165,7 @@
 	}
 	claimsDue := e.Claims.Tick(now)
 	e.Queries.Run(now)
-	due = earliest(e.maintenanceAt, claimsDue, e.Queries.NextDue())
+	due = earliest(e.maintenanceAt, claimsDue, e.Queries.NextDue(), e.checkDirectoryAtStart(now))
 	if e.Relay != nil {
 		e.Relay.RunTimers(now)
 		due = earliest(due, e.Relay.NextDue())
--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -25,6 +25,10 @@
 	// directory is the content of the directory in every revision.
 	directory []event.DirectoryChange
 	revision  uint64
+	// storeDown is set while the directory doesn't answer. lists counts the instances that
+	// began to read the full directory.
+	storeDown bool
+	lists     int
 	// falseSuspicions counts how often a running instance was suspected.
 	falseSuspicions int
 }
@@ -41,14 +45,19 @@
 	dialSeeds   bool
 	// readsDirectory is set while the instance reads the directory itself.
 	readsDirectory bool
-	links          map[model.InstanceID]bool
-	due            time.Time
-	sentBytes      int
+	// cutOff is set while the instance can't reach the store.
+	cutOff    bool
+	links     map[model.InstanceID]bool
+	due       time.Time
+	sentBytes int
 }
 
 // meshDataCentres is the number of data centres.
 const meshDataCentres = 6
 
+// listDuration is how long it takes to read the full directory.
+const listDuration = 150 * time.Millisecond
+
 func newMesh(n int) *mesh {
 	m := &mesh{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), nodes: map[model.InstanceID]*meshNode{}}
 	for i := range n {
@@ -73,19 +82,63 @@
 	n.starts++
 	n.routedInstance = newRoutedInstanceAt(m.now, model.Instance{
 		ID: n.id, Incarnation: model.Incarnation(n.starts * 1000), Address: "10.0.0.1:8000", DataCentre: n.dataCentre,
-	})
+	}, slices.Contains(m.seeds, n.id))
 	n.links, n.linkTargets, n.dialSeeds, n.down = map[model.InstanceID]bool{}, nil, true, false
-	// Each instance reads the full directory at a different revision, after a delay.
+	n.readsDirectory = false
+	m.tick(n)
+	starts := n.starts
+	m.queue.Set(m.now.Add(time.Second), func() { m.confirmDirectory(n, starts) })
+}
+
+// follow executes a command to read the directory or to stop. Each instance reads the full
+// directory at a different revision, after a delay.
+func (m *mesh) follow(n *meshNode, c event.FollowDirectory) {
+	n.readsDirectory = c.Active
+	if !c.Active {
+		return
+	}
+	if c.Revision > 0 {
+		// The first call after a change of readers doesn't wait for a change.
+		m.queue.Set(m.now.Add(5*time.Millisecond), func() { m.readOnce(n) })
+		return
+	}
+	m.lists++
 	starts := n.starts
-	m.queue.Set(m.now.Add(50*time.Millisecond), func() {
-		if n.starts == starts && n.readsDirectory {
+	m.queue.Set(m.now.Add(listDuration), func() {
+		switch {
+		case n.starts != starts || !n.readsDirectory || n.down:
+		case m.storeDown || n.cutOff:
+			m.tick(n, event.DirectoryUnreachable{Cause: "down"})
+			m.queue.Set(m.now.Add(300*time.Millisecond), func() {
+				if n.starts == starts && n.readsDirectory {
+					m.follow(n, c)
+				}
+			})
+		default:
 			m.revision++
 			m.tick(n, event.DirectoryRead{Changes: m.directory, Full: true, Revision: m.revision, AsOf: m.now})
 		}
 	})
-	n.readsDirectory = true
-	m.tick(n)
-	m.queue.Set(m.now.Add(time.Second), func() { m.confirmDirectory(n, starts) })
+}
+
+// readers returns the number of running instances that read the directory.
+func (m *mesh) readers() (count int) {
+	for _, n := range m.nodes {
+		if n.readsDirectory && !n.down {
+			count++
+		}
+	}
+	return count
+}
+
+// loaded returns the number of running instances that hold the directory.
+func (m *mesh) loaded() (count int) {
+	for _, n := range m.nodes {
+		if !n.down && n.Roster.Loaded() {
+			count++
+		}
+	}
+	return count
 }
 
 // confirmDirectory confirms the directory's revision every second to an instance that
@@ -94,10 +147,19 @@
 	if n.starts != starts || n.down {
 		return
 	}
-	if n.readsDirectory && n.Roster.Loaded() {
+	m.readOnce(n)
+	m.queue.Set(m.now.Add(time.Second), func() { m.confirmDirectory(n, starts) })
+}
+
+// readOnce confirms the directory's revision to an instance that reads the directory.
+func (m *mesh) readOnce(n *meshNode) {
+	switch {
+	case !n.readsDirectory || !n.Roster.Loaded():
+	case m.storeDown || n.cutOff:
+		m.tick(n, event.DirectoryUnreachable{Cause: "down"})
+	default:
 		m.tick(n, event.DirectoryRead{Revision: m.revision, AsOf: m.now})
 	}
-	m.queue.Set(m.now.Add(time.Second), func() { m.confirmDirectory(n, starts) })
 }
 
 // kill ends an instance without an announcement.
@@ -144,7 +206,7 @@
 				n.linkTargets = append(n.linkTargets, p.ID)
 			}
 		case event.FollowDirectory:
-			n.readsDirectory = c.Active
+			m.follow(n, c)
 		case event.StateChanged:
 			if other := m.nodes[model.InstanceID(c.Name)]; c.Kind == "member" && c.To == event.MemberSuspect.String() && !other.down {
 				m.falseSuspicions++
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -25,7 +25,9 @@
 	}
 	e.Emit(event.StateChanged{Kind: "peer", Name: string(p.ID), To: "linked"})
 	e.refreshLiveInstances(now)
-	e.requestDirectory(now, p.ID)
+	if e.Roster != nil && slices.Contains(e.directoryPeers(now), p.ID) {
+		e.requestDirectory(now, p.ID)
+	}
 }
 
 // sendView sends the full membership view and the platform's list to a peer.
--- /dev/null
+++ b/core/engine/start_test.go
@@ -0,0 +1,143 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"hyssoppitch/core/model"
+)
+
+// The tests of this file check how instances get the directory when they start, at the size
+// of a large deployment. A page of the directory holds some 50 entries, so that each instance
+// that reads all of it makes many calls to the store.
+
+// largeDeployment is the number of instances of these tests.
+const largeDeployment = 118
+
+// TestSimultaneousStartSparesTheStore checks that of many instances that start at the same
+// time only the seeds read the full directory, and that all of them have it within two
+// seconds.
+func TestSimultaneousStartSparesTheStore(t *testing.T) {
+	m := newMesh(largeDeployment)
+	m.advance(2 * time.Second)
+	if got, want := m.loaded(), largeDeployment; got != want {
+		t.Errorf("instances with the directory after 2s: got %d, want %d", got, want)
+	}
+	if got, want := m.lists, len(m.seeds); got > want {
+		t.Errorf("instances that read the full directory: got %d, want at most %d", got, want)
+	}
+}
+
+// TestStartWithoutSeeds checks that instances get the directory within two seconds when no
+// seed runs: no instance has a link then, and each must read the directory itself.
+func TestStartWithoutSeeds(t *testing.T) {
+	m := newMesh(largeDeployment)
+	for _, id := range m.ids {
+		m.kill(m.nodes[id])
+	}
+	for _, id := range m.ids[3:] {
+		m.start(m.nodes[id])
+	}
+	m.advance(2 * time.Second)
+	if got, want := m.loaded(), largeDeployment-3; got != want {
+		t.Errorf("instances with the directory after 2s: got %d, want %d", got, want)
+	}
+}
+
+// TestSeedsWithoutTheStoreDelayNobody checks that instances read the directory themselves when
+// the seeds run but can't read it.
+func TestSeedsWithoutTheStoreDelayNobody(t *testing.T) {
+	m := newMesh(24)
+	for _, id := range m.ids {
+		m.kill(m.nodes[id])
+	}
+	for _, id := range m.seeds {
+		m.nodes[id].cutOff = true
+	}
+	for _, id := range m.ids {
+		m.start(m.nodes[id])
+	}
+	m.advance(2500 * time.Millisecond)
+	if got, want := m.loaded(), 24; got != want {
+		t.Errorf("instances with the directory after 2.5s: got %d, want %d", got, want)
+	}
+}
+
+// TestStoreReturnsAfterSimultaneousStart checks that all instances have the directory within a
+// second of the store's return when they all started while it was down, and that they make
+// few calls meanwhile.
+func TestStoreReturnsAfterSimultaneousStart(t *testing.T) {
+	m := newMesh(largeDeployment)
+	m.advance(3 * time.Second)
+	for _, id := range m.ids {
+		m.kill(m.nodes[id])
+	}
+	m.storeDown, m.lists = true, 0
+	for _, id := range m.ids {
+		m.start(m.nodes[id])
+	}
+	const outage = 4
+	m.advance(outage * time.Second)
+	if got, want := m.lists, outage*largeDeployment; got > want {
+		t.Errorf("calls to the store while it was down: got %d, want at most %d, one a second and instance", got, want)
+	}
+	m.storeDown = false
+	m.advance(time.Second)
+	if got, want := m.loaded(), largeDeployment; got != want {
+		t.Errorf("instances with the directory 1s after the store's return: got %d, want %d", got, want)
+	}
+}
+
+// TestRestartedInstanceGetsDirectoryFromPeer checks that an instance that starts among running
+// ones, seed or not, has the directory soon, also while the store is down, and doesn't read
+// all of it unless it is a seed.
+func TestRestartedInstanceGetsDirectoryFromPeer(t *testing.T) {
+	for _, storeDown := range []bool{false, true} {
+		m := newMesh(largeDeployment)
+		m.advance(4 * time.Second)
+		m.storeDown = storeDown
+		for i, id := range []model.InstanceID{m.ids[0], m.ids[50], m.ids[117]} {
+			m.kill(m.nodes[id])
+			m.advance(time.Second)
+			m.lists = 0
+			m.start(m.nodes[id])
+			m.advance(1500 * time.Millisecond)
+			if got, want := m.loaded(), largeDeployment; got != want {
+				t.Errorf("store down %t: instances with the directory 1.5s after the start of %s: got %d, want %d", storeDown, id, got, want)
+			}
+			if i > 0 && m.lists > 0 {
+				t.Errorf("store down %t: %s: got %d reads of the full directory, want 0", storeDown, id, m.lists)
+			}
+		}
+	}
+}
+
+// TestOneReaderPerDataCentre checks that one instance of each data centre reads the directory
+// of a large deployment, although most instances have no link to it, and that another one
+// takes its place without a rush of readers when it is cut off from the store.
+func TestOneReaderPerDataCentre(t *testing.T) {
+	m := newMesh(largeDeployment)
+	m.advance(6 * time.Second)
+	if got, want := m.readers(), meshDataCentres; got != want {
+		t.Errorf("readers: got %d, want %d, one for each data centre", got, want)
+	}
+	for _, n := range m.nodes {
+		if n.readsDirectory {
+			n.cutOff = true
+		}
+	}
+	peak := 0
+	for range 100 {
+		m.advance(100 * time.Millisecond)
+		peak = max(peak, m.readers())
+	}
+	if got, want := peak, 4*meshDataCentres; got > want {
+		t.Errorf("readers at a time after all readers were cut off from the store: got up to %d, want at most %d", got, want)
+	}
+	for _, id := range m.ids {
+		n := m.nodes[id]
+		if _, asOf := n.DirectoryRevision(); m.now.Sub(asOf) > 3*time.Second {
+			t.Errorf("%s: directory is %v old, want at most 3s", id, m.now.Sub(asOf))
+		}
+	}
+}
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -218,4 +218,7 @@
 	// RecoveredMicros is how many microseconds ago the directory became reachable after
 	// an outage; zero if there was no recent outage.
 	RecoveredMicros int64 `cbor:"6,keyasint,omitempty"`
+	// Reader is the instance that read this from the directory itself; empty in an update that
+	// answers a request.
+	Reader model.InstanceID `cbor:"7,keyasint,omitempty"`
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -46,6 +46,8 @@
 	// later, so that a connection that no longer carries data is noticed.
 	watchWait   = 900 * time.Millisecond
 	watchMargin = 600 * time.Millisecond
+	// confirmWait is the wait of the first watch of a reader that continues from a revision.
+	confirmWait = time.Millisecond
 	// minWatchInterval is the minimum time between the starts of two watches, so that
 	// changes in quick succession are read by one call.
 	minWatchInterval = 400 * time.Millisecond
@@ -54,7 +56,7 @@
 	maxRetryDelay = 800 * time.Millisecond
 )
 
-// Reader reads a directory while it is active. It is active from the start.
+// Reader reads a directory while it is active. It is inactive until SetActive is called.
 type Reader struct {
 	clock  Clock
 	source Source
@@ -68,6 +70,9 @@
 	// cancelList cancels the current call of Source.List; it is nil while there is none.
 	cancelList context.CancelFunc
 
+	// confirm is set when the next watch returns at once, so that peers that waited for an
+	// update get one.
+	confirm bool
 	// listed is set while Watch can continue from revision.
 	listed   bool
 	revision uint64
@@ -97,7 +102,7 @@
 
 // Run posts the directory's content and changes to the sink until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	active := true
+	active := false
 	for ctx.Err() == nil {
 		active = r.applyCommand(active)
 		if !active {
@@ -136,7 +141,7 @@
 		return active
 	}
 	if c.Active && !active && c.Revision > 0 {
-		r.listed, r.revision = true, max(r.revision, c.Revision)
+		r.listed, r.confirm, r.revision = true, true, max(r.revision, c.Revision)
 	}
 	return c.Active
 }
@@ -173,7 +178,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
 	defer cancel()
-	changes, revision, err := r.source.Watch(ctx, r.revision, watchWait)
+	maxWait := watchWait
+	if r.confirm {
+		maxWait = confirmWait
+	}
+	changes, revision, err := r.source.Watch(ctx, r.revision, maxWait)
 	if errors.Is(err, ErrCompacted) {
 		r.listed = false
 		return nil
@@ -182,11 +191,12 @@
 		return err
 	}
 	r.revision = max(r.revision, revision)
+	r.confirm = false
 	asOf := now
 	if len(changes) == 0 {
 		// Without changes, the source answers at the end of the wait, so the content is
 		// current as of then.
-		asOf = now.Add(min(watchWait, r.clock.Now().Sub(now)))
+		asOf = now.Add(min(maxWait, r.clock.Now().Sub(now)))
 	}
 	r.sink.Post(event.DirectoryRead{Changes: changes, Revision: r.revision, AsOf: asOf})
 	return nil
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -90,6 +90,7 @@
 	t.Helper()
 	src, out := &scriptedSource{script: script}, &recordingSink{}
 	r := feed.NewReader(systemClock{}, src, out)
+	r.SetActive(event.FollowDirectory{Active: true})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -164,3 +165,16 @@
 		t.Errorf("first call once active again: got %q, want %q", got, want)
 	}
 }
+
+// TestNewReaderIsInactive checks that a reader makes no calls before it is activated, as an
+// instance that starts gets the directory from its peers.
+func TestNewReaderIsInactive(t *testing.T) {
+	src := &scriptedSource{}
+	r := feed.NewReader(systemClock{}, src, &recordingSink{})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	r.Run(ctx)
+	if got := src.callsMade(); len(got) > 0 {
+		t.Errorf("calls: got %v, want none", got)
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,6 +209,9 @@
 		n.routed = newRouted(n, d.Platform)
 		o := relayOptions(s)
 		options.Relay = &o
+		// Other instances find each other through the seeds, so a seed has links first. An
+		// instance that knows no seed gets the directory from nobody.
+		options.ReadsDirectoryFirst = len(s.Seeds) == 0 || slices.Contains(s.Seeds, n.self.Address)
 	}
 	n.engine = engine.New(now, n.self, options)
 	n.publishVars()
