Engine: ignore and log messages of peers with invalid fields

Cause: looked for a malformed message that ends the process. None was found (rapid, 4,000 sequences of arbitrary messages in both modes), but a directory update without a routing table or with a negative age emptied or aged the local copy, and a member without an ID joined the view.

Change: a message with a value that no instance sends is refused as a whole, with a log line that names peer, field and value.

--- /dev/null
+++ b/core/engine/invalid.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"fmt"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// refuseMessage logs that a message of a peer was ignored because of an invalid field.
+func (e *Engine) refuseMessage(from model.InstanceID, problem string) {
+	e.Emit(event.StateChanged{Kind: "peer-message", Name: string(from), To: "refused", Cause: problem})
+}
+
+// invalidField returns which field of a message has a value that no instance sends, with the
+// value, or "". Such a message is ignored as a whole: a part of it could not be trusted either.
+func invalidField(m event.Message) (problem string) {
+	switch {
+	case m.Members != nil:
+		for _, u := range m.Members.Updates {
+			if problem := invalidMember(u); problem != "" {
+				return problem
+			}
+		}
+	case m.Directory != nil:
+		return invalidDirectory(m.Directory)
+	case m.Suspects != nil:
+		if s := m.Suspects.State; s < event.SuspicionRaised || s > event.SuspicionCondemned {
+			return fmt.Sprintf("suspicion: state %d", s)
+		}
+	}
+	return ""
+}
+
+// invalidMember returns the invalid field of a member's update, or "".
+func invalidMember(u event.MemberUpdate) (problem string) {
+	switch {
+	case u.Instance.ID == "":
+		return fmt.Sprintf("members: no instance ID, address %q", u.Instance.Address)
+	case u.State < event.MemberAlive || u.State > event.MemberLeft:
+		return fmt.Sprintf("members: instance %q: state %d", u.Instance.ID, u.State)
+	}
+	return ""
+}
+
+// invalidDirectory returns the invalid field of a directory update, or "". The full content
+// holds a routing table: an instance without one doesn't send its copy.
+func invalidDirectory(u *event.DirectoryUpdate) (problem string) {
+	switch {
+	case u.AgeMicros < 0:
+		return fmt.Sprintf("directory: age %d us", u.AgeMicros)
+	case u.RecoveredMicros < 0:
+		return fmt.Sprintf("directory: recovered %d us ago", u.RecoveredMicros)
+	case !u.Full && u.BaseRevision > u.Revision:
+		return fmt.Sprintf("directory: base revision %d of revision %d", u.BaseRevision, u.Revision)
+	}
+	hasTable := false
+	for _, c := range u.Changes {
+		r := c.Server
+		switch {
+		case c.Key == "":
+			return "directory: entry without a key"
+		case r != nil && (r.ID == "" || r.Address == "" || r.Group == ""):
+			return fmt.Sprintf("directory: entry %q: server %q of group %q at address %q", c.Key, r.ID, r.Group, r.Address)
+		case c.Routing != nil:
+			hasTable = true
+		}
+	}
+	if u.Full && !hasTable {
+		return fmt.Sprintf("directory: full content of %d entries without a routing table", len(u.Changes))
+	}
+	return ""
+}
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -48,6 +48,10 @@
 // handleMessage handles a message from a peer.
 func (e *Engine) handleMessage(now time.Time, from model.InstanceID, m event.Message) {
 	e.Members.RecordReceived(now, from)
+	if problem := invalidField(m); problem != "" {
+		e.refuseMessage(from, problem)
+		return
+	}
 	switch {
 	case m.Ping != nil:
 		e.handlePing(now, from, m.Ping)
