Directory: ask peers that have run for some time at once; count calls to the store

Cause: with the delays for a start of all at once, an instance that restarts among running ones in other data centres waited 0.4 s longer for the directory.

Change: a peer that started 5 s earlier or more is asked as soon as it is linked. The counters of a reader (lists, watches, lost history, failures, calls) are published under directory-reads, so that calls to the store can be told apart by their reason.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -50,6 +50,9 @@
 	// maxStartListDelay limits startListDelay, which doubles after each failed read while
 	// there are peers that may send the directory.
 	maxStartListDelay = 4 * startListDelay
+	// establishedAge is how much earlier than this instance a peer must have started to be
+	// expected to have the directory.
+	establishedAge = 5 * time.Second
 	// membershipSettleTime is the time after the start within which an instance that got the
 	// directory from a peer doesn't become a reader: it doesn't know all members yet.
 	membershipSettleTime = 2500 * time.Millisecond
@@ -202,18 +205,25 @@
 	return true
 }
 
-// directoryPeers returns the linked peers that may be asked for the directory now. An
-// instance without a copy asks only those of its data centre at first, because links between
-// data centres are slow and the directory is large.
-func (e *Engine) directoryPeers(now time.Time) []model.InstanceID {
+// directoryPeers returns the linked peers that may be asked for the directory now. While many
+// instances start together, one without a copy asks only those of its data centre at first,
+// because links between data centres are slow and the directory is large. Peers that have
+// been running for some time are asked at once.
+func (e *Engine) directoryPeers(now time.Time) (out []model.InstanceID) {
 	delay := remoteRequestDelay
 	if e.readerRank() > 0 {
 		delay *= 2
 	}
-	if !e.Roster.Loaded() && now.Sub(e.directory.startedAt) < delay {
-		return e.dataCentrePeers()
+	if e.Roster.Loaded() || now.Sub(e.directory.startedAt) >= delay {
+		return e.Members.Linked()
 	}
-	return e.Members.Linked()
+	for _, m := range e.Members.Rows() {
+		established := m.Incarnation+model.Incarnation(establishedAge) < e.Self.Incarnation
+		if m.ID != e.Self.ID && m.Linked && (established || m.DataCentre == e.Self.DataCentre) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
 }
 
 // dataCentrePeers returns the other live instances of this data centre to which this
--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -81,7 +81,7 @@
 func (m *mesh) start(n *meshNode) {
 	n.starts++
 	n.routedInstance = newRoutedInstanceAt(m.now, model.Instance{
-		ID: n.id, Incarnation: model.Incarnation(n.starts * 1000), Address: "10.0.0.1:8000", DataCentre: n.dataCentre,
+		ID: n.id, Incarnation: model.Incarnation(m.now.UnixNano()), Address: "10.0.0.1:8000", DataCentre: n.dataCentre,
 	}, slices.Contains(m.seeds, n.id))
 	n.links, n.linkTargets, n.dialSeeds, n.down = map[model.InstanceID]bool{}, nil, true, false
 	n.readsDirectory = false
--- a/core/engine/start_test.go
+++ b/core/engine/start_test.go
@@ -1,9 +1,11 @@
 package engine_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
 )
 
@@ -89,22 +91,23 @@
 }
 
 // TestRestartedInstanceGetsDirectoryFromPeer checks that an instance that starts among running
-// ones, seed or not, has the directory soon, also while the store is down, and doesn't read
+// ones, seed or not, has the directory at once, also while the store is down, and doesn't read
 // all of it unless it is a seed.
 func TestRestartedInstanceGetsDirectoryFromPeer(t *testing.T) {
 	for _, storeDown := range []bool{false, true} {
 		m := newMesh(largeDeployment)
-		m.advance(4 * time.Second)
+		m.advance(8 * time.Second)
 		m.storeDown = storeDown
 		for i, id := range []model.InstanceID{m.ids[0], m.ids[50], m.ids[117]} {
 			m.kill(m.nodes[id])
 			m.advance(time.Second)
 			m.lists = 0
 			m.start(m.nodes[id])
-			m.advance(1500 * time.Millisecond)
+			m.advance(300 * time.Millisecond)
 			if got, want := m.loaded(), largeDeployment; got != want {
-				t.Errorf("store down %t: instances with the directory 1.5s after the start of %s: got %d, want %d", storeDown, id, got, want)
+				t.Errorf("store down %t: instances with the directory 300ms after the start of %s: got %d, want %d", storeDown, id, got, want)
 			}
+			m.advance(1200 * time.Millisecond)
 			if i > 0 && m.lists > 0 {
 				t.Errorf("store down %t: %s: got %d reads of the full directory, want 0", storeDown, id, m.lists)
 			}
@@ -141,3 +144,38 @@
 		}
 	}
 }
+
+// TestOldCopyOfPeerDoesNotBringServersBack checks that an instance that starts and gets the
+// directory from a peer that has been cut off from the store doesn't rely on that copy: it
+// reads the directory from the copy's revision on, so that a server that has left in the
+// meantime is removed, and a still older copy of another peer changes nothing.
+func TestOldCopyOfPeerDoesNotBringServersBack(t *testing.T) {
+	r := newRoutedInstanceAt(newRoutedInstance("a").now, model.Instance{ID: "a", Incarnation: 1, Address: "127.0.0.1:1", DataCentre: "dc0"}, false)
+	r.tick()
+	r.link("b")
+	age := (20 * time.Second).Microseconds()
+	r.receiveUpdate("b", event.DirectoryUpdate{
+		Revision: 10, Full: true, AgeMicros: age,
+		Changes: []event.DirectoryChange{routingEntry(1), serverEntry("s1", "dc0"), serverEntry("s2", "dc0")},
+	})
+	r.advance(time.Second)
+	var got []event.FollowDirectory
+	for _, c := range r.emitted {
+		if f, ok := c.(event.FollowDirectory); ok {
+			got = append(got, f)
+		}
+	}
+	if want := []event.FollowDirectory{{Active: true, Revision: 10}}; !slices.Equal(got, want) {
+		t.Fatalf("reading of the directory: got %v, want %v", got, want)
+	}
+	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "servers/s1"}}, Revision: 15, AsOf: r.now})
+	r.link("c")
+	r.receiveUpdate("c", event.DirectoryUpdate{
+		Revision: 9, Full: true, AgeMicros: age,
+		Changes: []event.DirectoryChange{routingEntry(1), serverEntry("s1", "dc0"), serverEntry("s0", "dc0")},
+	})
+	r.advance(time.Second)
+	if got, want := r.Roster.Len(), 1; got != want {
+		t.Errorf("servers after two have left: got %d, want %d", got, want)
+	}
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	// List returns all entries and a revision; Watch after that revision misses no later
 	// change.
 	List(ctx context.Context) (changes []event.DirectoryChange, revision uint64, err error)
+	// Calls returns how many requests were sent to the source: a List may need several.
+	Calls() uint64
 	// Watch returns the changes after a revision. It waits for one until the time wait is
 	// over.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []event.DirectoryChange, revision uint64, err error)
@@ -78,6 +81,29 @@
 	revision uint64
 	// failures counts the consecutive failed calls.
 	failures int
+	// The fields of Counters.
+	lists, compacted, watches, failed atomic.Uint64
+}
+
+// Counters counts the calls of a Reader since it was created.
+type Counters struct {
+	// Lists counts the calls of Source.List: at a start and, as Compacted counts, because the
+	// source no longer had the changes after a revision.
+	Lists     uint64 `json:"lists"`
+	Compacted uint64 `json:"history-lost"`
+	// Watches counts the calls of Source.Watch, and Failures those calls of both that failed.
+	Watches  uint64 `json:"watches"`
+	Failures uint64 `json:"failures"`
+	// Calls counts the requests that these calls sent to the source.
+	Calls uint64 `json:"calls"`
+}
+
+// Counters returns the counters. It is safe for concurrent use.
+func (r *Reader) Counters() Counters {
+	return Counters{
+		Lists: r.lists.Load(), Compacted: r.compacted.Load(), Watches: r.watches.Load(),
+		Failures: r.failed.Load(), Calls: r.source.Calls(),
+	}
 }
 
 // NewReader returns a reader. It reads once Run is called.
@@ -120,6 +146,7 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			r.failures++
+			r.failed.Add(1)
 			r.sink.Post(event.DirectoryUnreachable{Cause: err.Error()})
 			interval = min(minRetryDelay<<min(r.failures-1, 4), maxRetryDelay)
 			began = r.clock.Now()
@@ -168,6 +195,7 @@
 		defer cancel()
 		r.setCancelList(cancel)
 		defer r.setCancelList(nil)
+		r.lists.Add(1)
 		changes, revision, err := r.source.List(ctx)
 		if err != nil {
 			return err
@@ -182,8 +210,10 @@
 	if r.confirm {
 		maxWait = confirmWait
 	}
+	r.watches.Add(1)
 	changes, revision, err := r.source.Watch(ctx, r.revision, maxWait)
 	if errors.Is(err, ErrCompacted) {
+		r.compacted.Add(1)
 		r.listed = false
 		return nil
 	}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -55,6 +55,8 @@
 	return nil, revision, err
 }
 
+func (s *scriptedSource) Calls() uint64 { return uint64(len(s.callsMade())) }
+
 func (s *scriptedSource) callsMade() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,7 +110,7 @@
 // the listed revision, that it reports an error once and retries from the same revision,
 // and that it lists again when the changes after its revision are no longer available.
 func TestReaderListsThenWatches(t *testing.T) {
-	_, src, out := start(t, scriptedCall{revision: 3}, scriptedCall{revision: 5}, scriptedCall{err: errors.New("reset")}, scriptedCall{revision: 6}, scriptedCall{err: feed.ErrCompacted}, scriptedCall{revision: 9})
+	r, src, out := start(t, scriptedCall{revision: 3}, scriptedCall{revision: 5}, scriptedCall{err: errors.New("reset")}, scriptedCall{revision: 6}, scriptedCall{err: feed.ErrCompacted}, scriptedCall{revision: 9})
 	got := awaitCalls(t, src, 7)[:7]
 	want := []string{"list", "watch after 3", "watch after 5", "watch after 5", "watch after 6", "list", "watch after 9"}
 	if !slices.Equal(got, want) {
@@ -122,6 +124,10 @@
 			unreachable++
 		}
 	}
+	wantCounters := feed.Counters{Lists: 2, Compacted: 1, Watches: 5, Failures: 1, Calls: 7}
+	if got := r.Counters(); got != wantCounters {
+		t.Errorf("counters: got %+v, want %+v", got, wantCounters)
+	}
 	if unreachable != 1 {
 		t.Errorf("directory reported unreachable: got %d times, want once", unreachable)
 	}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -11,6 +11,7 @@
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
 	"hyssoppitch/core/relay"
+	"hyssoppitch/io/feed"
 	"hyssoppitch/io/peer"
 )
 
@@ -184,6 +185,8 @@
 // RoutedStatus holds an instance's counters of routed requests.
 type RoutedStatus struct {
 	relay.Counters
+	// DirectoryReads counts the calls to the platform's store.
+	DirectoryReads feed.Counters `json:"directory-reads"`
 	// Version is the version of the active routing table, and Revision the revision of
 	// the directory.
 	Version  uint64 `json:"routing-version"`
@@ -213,6 +216,7 @@
 				Servers: e.Roster.Len(), InFlight: e.Relay.InFlight(),
 			}
 		})
+		out.DirectoryReads = n.routed.directory.Counters()
 		out.ConnectionsOpened, out.ConnectionsFailed = n.routed.backends.Connections()
 		return out
 	})
