Backends: a reply that names no request is bad on a connection whose replies did

Cause: a second copy of a reply that arrives when the next request is on its way is told from the answer by the request that it names; a copy without that header was taken for the answer.

Change: once a reply on a connection has named its request, a later one must as well. The exchanges of the tests now carry their request's name as real ones do, so that the test of extra replies checks that path too.

--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -65,6 +65,9 @@
 	keepUntil time.Time
 	// written counts the bytes that were passed to the connection.
 	written atomic.Int64
+	// namesRequests is set once a reply on the connection has named its request. A later reply
+	// that names none belongs to no known request.
+	namesRequests bool
 	// readLimit is the number of bytes that may still be read in this phase of the exchange.
 	readLimit int
 }
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -133,6 +133,11 @@
 		return end
 	}
 	b.evaluate(&end, r, reply, body)
+	if named := reply.Header.Get(b.names.Request) != ""; !named && conn.namesRequests && end.Kind == event.Answered {
+		end.Kind, end.Reply, end.Detail = event.BadReply, nil, "the reply names no request, unlike earlier ones on the connection"
+	} else if named {
+		conn.namesRequests = true
+	}
 	if end.Kind == event.BadReply || conn.reader.Buffered() > 0 {
 		b.connPool.drop(conn)
 		return end
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -92,7 +93,7 @@
 	ctx := b.Begin(context.Background(), id)
 	return b.Exchange(ctx, event.SendExchange{
 		Attempt: id, RequestID: requestID, Server: "s1", Address: address, Connections: 4, Deadline: time.Now().Add(400 * time.Millisecond),
-	}, &pass.Request{Method: "POST", Target: "/a//b/../c?x=%20", Host: "h.example", Header: http.Header{}, Body: []byte("body"), RequestID: requestID})
+	}, &pass.Request{Method: "POST", Target: "/a//b/../c?x=%20", Host: "h.example", Header: http.Header{"X-Request": {requestID}}, Body: []byte("body"), RequestID: requestID})
 }
 
 // TestExchangeReportsHowItEnds checks the result of an exchange for complete, incomplete,
@@ -176,9 +177,12 @@
 	if got, want := r.Header.Get("X-Expect"), "s1"; got != want {
 		t.Errorf("expected server: got %q, want %q", got, want)
 	}
+	if got, want := r.Header["X-Request"], []string{"r1"}; !slices.Equal(got, want) {
+		t.Errorf("request ID: got %q, want %q", got, want)
+	}
 	for name := range r.Header {
 		switch name {
-		case "X-Expect", "X-Patience", "Content-Length":
+		case "X-Request", "X-Expect", "X-Patience", "Content-Length":
 		default:
 			t.Errorf("header %s was added", name)
 		}
@@ -214,6 +218,38 @@
 	}
 }
 
+// TestLateReplyIsNotTakenForNextAnswer checks that a second copy of a reply that arrives when
+// the next request is already on its way is not taken for the answer to it, also if the copy
+// doesn't name its request.
+func TestLateReplyIsNotTakenForNextAnswer(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		t.Run(fmt.Sprint("copy names its request ", named), func(t *testing.T) {
+			first := ""
+			address, _ := rawServer(t, func(n int, r *http.Request) string {
+				switch {
+				case n == 1:
+					first = okReply(r, "one")
+					return first
+				case n == 2 && named:
+					return first + okReply(r, "right")
+				case n == 2:
+					return strings.Replace(first, "X-Request: r1\r\n", "", 1) + okReply(r, "right")
+				}
+				return okReply(r, "right")
+			})
+			b := pass.NewBackendClient(systemClock{}, names)
+			defer b.Close()
+			exchange(b, address, "r1", 1)
+			if got := exchange(b, address, "r2", 2); got.Kind != event.BadReply {
+				t.Errorf("exchange that gets the copy: got %v, want %v", got.Kind, event.BadReply)
+			}
+			if got := exchange(b, address, "r3", 3); got.Kind != event.Answered || string(got.Reply.Body) != "right" {
+				t.Errorf("next exchange: got %v (%s), want the answer to it", got.Kind, got.Detail)
+			}
+		})
+	}
+}
+
 // TestConnectionsAreReused checks that consecutive requests share one connection.
 func TestConnectionsAreReused(t *testing.T) {
 	address, connections := rawServer(t, func(_ int, r *http.Request) string { return okReply(r, "yes") })
