Start: requests wait for the directory; links don't wait for machines without power

A dial of a seed that had no power yet waited a second for the retransmission of its first packet, so that no peer sent the directory, and each instance listed it after 0.9 s or more. Requests in between were refused, and their callers retry once. During the outage all 118 instances called the store every 0.8 s.

Change: 300 ms for the TCP handshake with a peer; an instance without links lists after 0.4 s plus a random part. A request that arrives before the directory waits for it, half a second or a quarter of its time at most, and is refused at once when the directory is known not to answer. The first two readers of a data centre repeat failed calls after 0.8 s at most, the others after 2 s.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -32,13 +32,19 @@
 	// minForwardFreshness is how much more recent an update without changes must be than
 	// the previous one of the same reader to be forwarded.
 	minForwardFreshness = 300 * time.Millisecond
+	// firstRetryDelay and laterRetryDelay are the maximum delays between failed calls to the
+	// directory, of the first two readers and the seeds, and of the others.
+	firstRetryDelay = 800 * time.Millisecond
+	laterRetryDelay = 2 * time.Second
 	// readerTTL is how long a reader is remembered after its last update.
 	readerTTL = 10 * time.Second
 	// startListDelay is the time after its start at which an instance without the directory
-	// reads it itself, unless it reads it first. A random time of up to startListJitter is
-	// added. The same times apply after a failed read.
-	startListDelay  = 900 * time.Millisecond
-	startListJitter = 500 * time.Millisecond
+	// reads it itself, unless it reads it first, and unlinkedListDelay the same for an instance
+	// without links. A random time of up to startListJitter is added. startListDelay applies
+	// after a failed read, too.
+	startListDelay    = 900 * time.Millisecond
+	unlinkedListDelay = 400 * time.Millisecond
+	startListJitter   = 500 * time.Millisecond
 	// remoteRequestDelay is the time after its start at which the first instance in the order
 	// of readers asks a peer of another data centre for the directory; the others ask after
 	// twice that time, as they get it from the first one.
@@ -73,6 +79,8 @@
 	startedAt, listAt time.Time
 	// listDelay is the delay before listAt without its random part.
 	listDelay time.Duration
+	// listFailed is set once this instance has failed to read the directory.
+	listFailed bool
 	// checkAt is when the source is chosen again while there is no copy.
 	checkAt time.Time
 	// revision is the revision of the local copy; zero if there is none.
@@ -111,7 +119,7 @@
 	switch active, cause := e.shouldReadDirectory(now); {
 	case active && !s.active:
 		s.active = true
-		e.Emit(event.FollowDirectory{Active: true, Revision: s.revision})
+		e.Emit(event.FollowDirectory{Active: true, Revision: s.revision, MaxRetryDelay: e.maxRetryDelay()})
 		e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "directory", Cause: cause})
 	case !active && s.active:
 		e.stopReadingDirectory(cause)
@@ -128,6 +136,15 @@
 	}
 }
 
+// maxRetryDelay returns the maximum delay between failed calls. It is short for the first two
+// readers, from which the others learn of the end of an outage.
+func (e *Engine) maxRetryDelay() time.Duration {
+	if e.readerRank() < 2 || e.directory.readsFirst {
+		return firstRetryDelay
+	}
+	return laterRetryDelay
+}
+
 // stopReadingDirectory leaves the reading of the directory to peers.
 func (e *Engine) stopReadingDirectory(cause string) {
 	e.directory.active = false
@@ -140,8 +157,11 @@
 func (e *Engine) shouldReadDirectory(now time.Time) (active bool, cause string) {
 	s := &e.directory
 	if !e.Roster.Loaded() {
-		if s.readsFirst || !now.Before(s.listAt) {
+		switch {
+		case s.readsFirst || !now.Before(s.listAt):
 			return true, "no copy from peers yet"
+		case !s.listFailed && len(e.Members.Linked()) == 0 && !now.Before(s.listAt.Add(unlinkedListDelay-startListDelay)):
+			return true, "no peers yet"
 		}
 		return false, "peers are asked first"
 	}
@@ -370,6 +390,10 @@
 	if v.AsOf.After(s.asOf) {
 		s.asOf = v.AsOf
 	}
+	if e.Roster.Loaded() {
+		e.Relay.DirectoryLoaded(now)
+		e.reportReadiness(now)
+	}
 }
 
 // checkDirectoryAtStart chooses the source of the directory more often than the periodic work
@@ -463,7 +487,11 @@
 
 // handleDirectoryUnreachable records that the directory does not answer this instance.
 func (e *Engine) handleDirectoryUnreachable(now time.Time, v event.DirectoryUnreachable) {
+	if !e.Roster.Loaded() {
+		e.Relay.DirectoryFailed(now)
+	}
 	if s := &e.directory; !e.Roster.Loaded() && !s.readsFirst {
+		s.listFailed = true
 		delay := startListDelay
 		if len(e.Members.Linked()) > 0 {
 			delay = min(2*s.listDelay, maxStartListDelay)
--- a/core/engine/start_test.go
+++ b/core/engine/start_test.go
@@ -165,7 +165,7 @@
 			got = append(got, f)
 		}
 	}
-	if want := []event.FollowDirectory{{Active: true, Revision: 10}}; !slices.Equal(got, want) {
+	if want := []event.FollowDirectory{{Active: true, Revision: 10, MaxRetryDelay: 800 * time.Millisecond}}; !slices.Equal(got, want) {
 		t.Fatalf("reading of the directory: got %v, want %v", got, want)
 	}
 	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "servers/s1"}}, Revision: 15, AsOf: r.now})
--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -200,6 +200,8 @@
 type FollowDirectory struct {
 	Active   bool
 	Revision uint64
+	// MaxRetryDelay limits the delay before a failed call is repeated.
+	MaxRetryDelay time.Duration
 }
 
 // DirectoryUnreachable reports that the directory gave no answer.
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -36,20 +36,29 @@
 	longRetryAfter  = 400 * time.Millisecond
 )
 
-// HandleRequest admits a request, or refuses it before any attempt is sent.
+// HandleRequest admits a request, or refuses it before any attempt is sent. A request that
+// arrives before the directory may wait for it.
 func (s *System) HandleRequest(now time.Time, r event.RoutedRequest) {
 	s.Counters.Arrived++
-	q := &Request{RoutedRequest: r, ArrivedAt: now, Version: s.table.Version}
-	if !s.Servers.Loaded() || s.table.Version == 0 {
-		s.refuse(now, q, event.RefuseNotReady, longRetryAfter, "the directory has not been read yet")
+	if s.ready() {
+		s.serve(now, now, r)
 		return
 	}
+	if !s.awaitDirectory(now, r) {
+		q := &Request{RoutedRequest: r, ArrivedAt: now, Version: s.table.Version}
+		s.refuse(now, q, event.RefuseNotReady, longRetryAfter, "the directory has not been read yet")
+	}
+}
+
+// serve admits or refuses a request that arrived at arrivedAt.
+func (s *System) serve(now, arrivedAt time.Time, r event.RoutedRequest) {
+	q := &Request{RoutedRequest: r, ArrivedAt: arrivedAt, Version: s.table.Version}
 	q.Route = s.table.Match(r.Host, r.Path)
 	if q.Route == nil {
 		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
 		return
 	}
-	q.AnswerBy = now.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
+	q.AnswerBy = arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
 	s.createLegs(q)
 	for i := range q.Legs {
 		// Refused requests count as well: the budget is a fraction of the requests received.
@@ -62,7 +71,7 @@
 	s.requests[r.Query] = q
 	s.timers.Set(q.AnswerBy, timerEvent{kind: timerDeadline, request: r.Query})
 	if q.gathers() && q.Route.Target > 0 {
-		s.timers.Set(now.Add(max(minAnswerTime, timeAtInstance(r, q.Route.Target))), timerEvent{kind: timerTarget, request: r.Query})
+		s.timers.Set(arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, q.Route.Target))), timerEvent{kind: timerTarget, request: r.Query})
 	}
 	s.admit(now, q)
 }
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -154,6 +154,9 @@
 // Abandon ends a request whose caller disconnected. Idempotent exchanges are cancelled;
 // others run to their end.
 func (s *System) Abandon(now time.Time, id event.QueryID) {
+	if s.dropEarly(id) {
+		return
+	}
 	q := s.requests[id]
 	if q == nil || q.Done {
 		return
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -52,6 +52,11 @@
 	table         *model.RoutingTable
 	instanceCount int
 
+	// early holds the requests that wait for the directory; directoryFailed is set while it is
+	// not loaded and doesn't answer.
+	early           []earlyRequest
+	directoryFailed bool
+
 	requests map[event.QueryID]*Request
 	attempts map[event.AttemptID]*Attempt
 	timers   timer.Queue[timerEvent]
@@ -104,7 +109,7 @@
 
 // InFlight returns the number of requests that are unanswered, or answered with a
 // non-idempotent exchange still in flight.
-func (s *System) InFlight() int { return len(s.requests) }
+func (s *System) InFlight() int { return len(s.requests) + len(s.early) }
 
 // RunTimers handles all timers that are due.
 func (s *System) RunTimers(now time.Time) {
@@ -137,6 +142,8 @@
 	timerRetry
 	// timerCancel cancels an attempt whose leg another attempt has completed.
 	timerCancel
+	// timerStartWait refuses a request that waits for the directory.
+	timerStartWait
 	// timerCrashCheck resumes a leg whose connection check took too long.
 	timerCrashCheck
 )
@@ -158,6 +165,10 @@
 		}
 		return
 	}
+	if d.kind == timerStartWait {
+		s.endStartWait(now, d.request)
+		return
+	}
 	q := s.requests[d.request]
 	if q == nil || q.Done {
 		return
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -54,9 +54,8 @@
 	// minWatchInterval is the minimum time between the starts of two watches, so that
 	// changes in quick succession are read by one call.
 	minWatchInterval = 400 * time.Millisecond
-	// minRetryDelay and maxRetryDelay limit the exponential backoff after failed calls.
+	// minRetryDelay is the first delay of the exponential backoff after failed calls.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
 )
 
 // Reader reads a directory while it is active. It is inactive until SetActive is called.
@@ -79,6 +78,8 @@
 	// listed is set while Watch can continue from revision.
 	listed   bool
 	revision uint64
+	// maxRetryDelay limits the backoff; it comes with the commands.
+	maxRetryDelay time.Duration
 	// failures counts the consecutive failed calls.
 	failures int
 	// The fields of Counters.
@@ -148,7 +149,7 @@
 			r.failures++
 			r.failed.Add(1)
 			r.sink.Post(event.DirectoryUnreachable{Cause: err.Error()})
-			interval = min(minRetryDelay<<min(r.failures-1, 4), maxRetryDelay)
+			interval = min(minRetryDelay<<min(r.failures-1, 5), max(r.maxRetryDelay, minRetryDelay))
 			began = r.clock.Now()
 		} else {
 			r.failures = 0
@@ -167,6 +168,7 @@
 	if c == nil {
 		return active
 	}
+	r.maxRetryDelay = c.MaxRetryDelay
 	if c.Active && !active && c.Revision > 0 {
 		r.listed, r.confirm, r.revision = true, true, max(r.revision, c.Revision)
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -24,14 +25,20 @@
 	// maxMessageBytes is the maximum size of a message. The largest message is one part of
 	// the configuration with its envelope.
 	maxMessageBytes = 2 << 20
+	// maxHeadBytes is the maximum size of the headers of a peer's reply to a handshake.
+	maxHeadBytes = 64 << 10
 	// sendQueueSize is the number of messages that may be queued for a slow link. Send
 	// closes the link when the queue is full.
 	sendQueueSize = 1024
 	// dialTimeout, helloTimeout and writeTimeout limit the time to open a connection, to
 	// exchange hello messages and to write one message.
-	dialTimeout  = time.Second
-	helloTimeout = time.Second
-	writeTimeout = 2 * time.Second
+	dialTimeout = time.Second
+	// connectTimeout limits the TCP handshake, which needs no work of the peer's process. A
+	// machine without power doesn't answer, and an attempt that began before it came back
+	// would wait for the retransmission of its first packet.
+	connectTimeout = 300 * time.Millisecond
+	helloTimeout   = time.Second
+	writeTimeout   = 2 * time.Second
 	// redialDelay is the delay between two attempts to connect to a peer.
 	redialDelay = 300 * time.Millisecond
 )
@@ -44,9 +51,10 @@
 
 // Hub manages the links of one instance. It is safe for concurrent use.
 type Hub struct {
-	self  model.Instance
-	sink  Sink
-	group sync.WaitGroup
+	self   model.Instance
+	sink   Sink
+	client *http.Client
+	group  sync.WaitGroup
 
 	mu    sync.Mutex
 	links map[model.InstanceID]*link
@@ -72,7 +80,9 @@
 
 // NewHub returns a hub without links.
 func NewHub(self model.Instance, sink Sink) *Hub {
-	return &Hub{self: self, sink: sink, links: map[model.InstanceID]*link{}, dialing: map[string]context.CancelFunc{}}
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}
+	return &Hub{self: self, sink: sink, client: client, links: map[model.InstanceID]*link{}, dialing: map[string]context.CancelFunc{}}
 }
 
 // SetPeers sets the addresses to keep links to. The hub dials each address, and redials
@@ -132,7 +142,7 @@
 func (h *Hub) dial(ctx context.Context, address string) (err error) {
 	defer func() { err = errors.Wrapf(err, "link to %s", address) }()
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, reply, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil)
+	conn, reply, err := websocket.Dial(dialCtx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: h.client})
 	cancel()
 	if err != nil {
 		return err
