--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -39,8 +39,11 @@
 	connectTimeout = 300 * time.Millisecond
 	helloTimeout   = time.Second
 	writeTimeout   = 2 * time.Second
-	// redialDelay is the delay between two attempts to connect to a peer.
-	redialDelay = 300 * time.Millisecond
+	// redialDelay is the delay between two attempts to connect to a peer, and
+	// unlinkedRedialDelay the same for an instance without links: it can get nothing from its
+	// peers.
+	redialDelay         = 300 * time.Millisecond
+	unlinkedRedialDelay = 50 * time.Millisecond
 )
 
 // Sink receives messages and changes of links as events.
@@ -126,6 +129,16 @@
 	return false
 }
 
+// redialDelay returns the delay before the next attempt to connect to a peer.
+func (h *Hub) redialDelay() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.links) == 0 {
+		return unlinkedRedialDelay
+	}
+	return redialDelay
+}
+
 func (h *Hub) dialLoop(ctx context.Context, address string) {
 	for ctx.Err() == nil {
 		if !h.hasLinkTo(address) {
@@ -134,7 +147,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(h.redialDelay()):
 		}
 	}
 }
