Start: take only a share of the servers; close connections that a burst left

An instance that has just started knows no other member and took the connections and capacity of all; the surplus stayed open, unused, and kept the last instance out.

Ruled out: the directory, which all had by 37.3 s.

Change: until the members are known, 2.5 s after the start, an instance assumes one more instance than there are seeds. A connection that was unused for 2 s is closed if there are two that were used more recently.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -74,6 +74,10 @@
 	views       viewSync
 	// liveInstances is the set that the systems were last given.
 	liveInstances []model.InstanceID
+	// expectedInstances is the number of instances that share the servers at least, as far as
+	// the settings tell. assumedInstances is that number while the members are not known yet,
+	// and zero later.
+	expectedInstances, assumedInstances int
 	// reportedNotReady is the last logged result of NotReadyReason.
 	reportedNotReady string
 	// deferredUpdates holds peers' updates about servers that are not in the active
@@ -91,6 +95,9 @@
 	// ReadsDirectoryFirst makes the instance read the directory as soon as it starts, so that
 	// others can get it from there. It is set on the seeds.
 	ReadsDirectoryFirst bool
+	// ExpectedInstances is the number of instances that routed requests are assumed to share
+	// the servers with, this one included, until the members are known.
+	ExpectedInstances int
 	// Seed makes random choices reproducible.
 	Seed uint64
 }
@@ -103,6 +110,7 @@
 		rand:      rand.New(rand.NewPCG(o.Seed+2, uint64(self.Incarnation))),
 		directory: directorySync{readsFirst: o.ReadsDirectoryFirst, startedAt: now},
 	}
+	e.expectedInstances = o.ExpectedInstances
 	e.scheduleList(now, startListDelay)
 	e.Warm = &warm.Coordinator{Self: self.ID, Servers: e.Servers, Peers: e, LeaseExpiry: e.quorumLeaseEnd}
 	e.Claims = claim.NewLedger(self, e)
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -21,6 +21,7 @@
 // runMaintenance does the periodic work.
 func (e *Engine) runMaintenance(now time.Time) {
 	e.publishMemberUpdates(now, "", e.Members.Tick(now))
+	e.refreshLiveInstances(now)
 	e.updateLinks()
 	e.pingPeers(now)
 	for _, b := range e.Servers.Rows {
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -194,14 +194,18 @@
 // set has changed.
 func (e *Engine) refreshLiveInstances(now time.Time) {
 	liveInstances := e.Members.Live()
-	if slices.Equal(liveInstances, e.liveInstances) {
+	atLeast := e.expectedInstances
+	if now.Sub(e.directory.startedAt) > membershipSettleTime {
+		atLeast = 0
+	}
+	if slices.Equal(liveInstances, e.liveInstances) && atLeast == e.assumedInstances {
 		return
 	}
-	e.liveInstances = liveInstances
+	e.liveInstances, e.assumedInstances = liveInstances, atLeast
 	e.Warm.SetMembers(now, liveInstances)
 	e.Queries.SetLiveInstances(len(liveInstances))
 	if e.Relay != nil {
-		e.Relay.SetLiveInstances(liveInstances)
+		e.Relay.SetLiveInstances(liveInstances, atLeast)
 	}
 }
 
--- a/core/engine/start_test.go
+++ b/core/engine/start_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"hyssoppitch/core/engine"
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/relay"
 )
 
 // The tests of this file check how instances get the directory when they start, at the size
@@ -179,3 +181,34 @@
 		t.Errorf("servers after two have left: got %d, want %d", got, want)
 	}
 }
+
+// TestStartingInstanceTakesOnlyItsShare checks that an instance that has just started, and knows
+// no other member yet, doesn't use the connections of all instances: after a total stop each
+// one would, and keep the last one out. Once the members are known, their number counts.
+func TestStartingInstanceTakesOnlyItsShare(t *testing.T) {
+	r := newRoutedInstance("a")
+	r.Engine = engine.New(r.now, r.Self, engine.Options{Seed: 1, ReadsDirectoryFirst: true, ExpectedInstances: 4, Relay: &relay.Options{
+		Retries: relay.RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
+	}})
+	entry := routingEntry(1)
+	entry.Routing.Pools = []model.Pool{{Group: "g", Connections: 30}}
+	r.tick(r.fullRead(entry, serverEntry("s1", "dc0")))
+	connections := func() int {
+		r.emitted = nil
+		r.tick(event.RoutedArrived{Request: event.RoutedRequest{Query: event.QueryID(r.now.UnixNano()), Host: "h", Path: "/a/"}})
+		for _, c := range r.emitted {
+			if s, ok := c.(event.SendExchange); ok {
+				return s.Connections
+			}
+		}
+		t.Fatalf("commands: got %v, want an exchange", r.emitted)
+		return 0
+	}
+	if got, want := connections(), 30/4; got > want {
+		t.Errorf("connections to a server at the start: got %d, want at most %d", got, want)
+	}
+	r.advance(4 * time.Second)
+	if got, want := connections(), 20; got < want {
+		t.Errorf("connections to a server once the instance is known to be alone: got %d, want %d or more", got, want)
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -101,10 +101,11 @@
 	return true
 }
 
-// SetLiveInstances sets the live instances, which share budgets and connections.
-func (s *System) SetLiveInstances(live []model.InstanceID) {
+// SetLiveInstances sets the live instances, which share budgets, connections and the capacity
+// of servers, and the number of instances to assume if there are fewer.
+func (s *System) SetLiveInstances(live []model.InstanceID, atLeast int) {
 	s.live = live
-	s.instanceCount = max(1, len(live))
+	s.instanceCount = max(1, len(live), atLeast)
 }
 
 // InFlight returns the number of requests that are unanswered, or answered with a
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -209,6 +209,7 @@
 		n.routed = newRouted(n, d.Platform)
 		o := relayOptions(s)
 		options.Relay = &o
+		options.ExpectedInstances = len(s.Seeds) + 1
 		// Other instances find each other through the seeds, so a seed has links first. An
 		// instance that knows no seed gets the directory from nobody.
 		options.ReadsDirectoryFirst = len(s.Seeds) == 0 || slices.Contains(s.Seeds, n.self.Address)
--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -28,6 +28,11 @@
 	// maxFreshIdle is the maximum time that a connection may have been idle to be used for
 	// a request that can't be retried. Servers may drop idle connections without notice.
 	maxFreshIdle = 250 * time.Millisecond
+	// surplusIdle is how long an unused connection is kept beyond the first keptIdle ones to
+	// an address. All instances together may open only so many connections to a server, and
+	// those that one of them opened for a burst would keep the others out.
+	surplusIdle = 2 * time.Second
+	keptIdle    = 2
 	// sweepInterval is the interval at which expired connections are closed.
 	sweepInterval = time.Second
 	// readBufferSize is the size of a connection's read buffer in bytes.
@@ -236,15 +241,18 @@
 	}
 }
 
-// closeExpired closes the unused connections that have expired or are no longer usable.
+// closeExpired closes the unused connections that have expired, are no longer usable, or exceed
+// what the traffic needs.
 func (p *connPool) closeExpired() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for address, h := range p.hosts {
 		live := h.idle[:0]
-		for _, c := range h.idle {
-			if now.Before(c.keepUntil) && c.usable() {
+		for i, c := range h.idle {
+			// The least recently used connections come first.
+			surplus := len(h.idle)-i > keptIdle && now.Sub(c.usedAt) > surplusIdle
+			if now.Before(c.keepUntil) && !surplus && c.usable() {
 				live = append(live, c)
 				continue
 			}
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -534,3 +535,54 @@
 		t.Errorf("network times of two requests on a connection: got %v, want twice a round trip and one", x.got)
 	}
 }
+
+// TestSurplusConnectionsAreClosed checks that connections that a burst needed are closed soon
+// after it, except for a few: the server accepts only so many of all instances together.
+func TestSurplusConnectionsAreClosed(t *testing.T) {
+	var open atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("X-Request", r.Header.Get("X-Request"))
+			w.Header().Set("X-Stamp", "st")
+		}),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				open.Add(1)
+			case http.StateClosed:
+				open.Add(-1)
+			default:
+			}
+		},
+	}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	b := pass.NewBackendClient(systemClock{}, names)
+	defer b.Close()
+	var group sync.WaitGroup
+	for n := range 10 {
+		group.Go(func() {
+			id := event.AttemptID{Instance: "i", Query: 1, Number: n}
+			b.Exchange(b.Begin(context.Background(), id), event.SendExchange{
+				Attempt: id, RequestID: "r1", Server: "s1", Address: l.Addr().String(), Connections: 20, Deadline: time.Now().Add(5 * time.Second),
+			}, &pass.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"X-Request": {"r1"}}, RequestID: "r1"})
+		})
+	}
+	group.Wait()
+	if got, want := open.Load(), int64(10); got != want {
+		t.Errorf("connections after ten requests at once: got %d, want %d", got, want)
+	}
+	for range 100 {
+		if open.Load() <= 2 {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Errorf("connections 10s later: got %d, want at most 2", open.Load())
+}
