--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -25,7 +25,9 @@
 	}
 	e.Emit(event.StateChanged{Kind: "peer", Name: string(p.ID), To: "linked"})
 	e.refreshLiveInstances(now)
-	e.requestDirectory(now, p.ID)
+	if e.Roster != nil && slices.Contains(e.directoryPeers(now), p.ID) {
+		e.requestDirectory(now, p.ID)
+	}
 }
 
 // sendView sends the full membership view and the platform's list to a peer.
@@ -46,6 +48,10 @@
 // handleMessage handles a message from a peer.
 func (e *Engine) handleMessage(now time.Time, from model.InstanceID, m event.Message) {
 	e.Members.RecordReceived(now, from)
+	if problem := invalidField(m); problem != "" {
+		e.refuseMessage(from, problem)
+		return
+	}
 	switch {
 	case m.Ping != nil:
 		e.handlePing(now, from, m.Ping)
@@ -188,14 +194,18 @@
 // set has changed.
 func (e *Engine) refreshLiveInstances(now time.Time) {
 	liveInstances := e.Members.Live()
-	if slices.Equal(liveInstances, e.liveInstances) {
+	atLeast := e.expectedInstances
+	if now.Sub(e.directory.startedAt) > membershipSettleTime {
+		atLeast = 0
+	}
+	if slices.Equal(liveInstances, e.liveInstances) && atLeast == e.assumedInstances {
 		return
 	}
-	e.liveInstances = liveInstances
+	e.liveInstances, e.assumedInstances = liveInstances, atLeast
 	e.Warm.SetMembers(now, liveInstances)
 	e.Queries.SetLiveInstances(len(liveInstances))
 	if e.Relay != nil {
-		e.Relay.SetLiveInstances(liveInstances)
+		e.Relay.SetLiveInstances(liveInstances, atLeast)
 	}
 }
 
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -53,9 +53,9 @@
 }
 
 // logSeverity returns the log severity of an answered request: LogImpaired if the answer is
-// partial or later than the route's target.
+// partial or reaches the caller later than the route's target.
 func (s *System) logSeverity(now time.Time, q *Request, full bool) event.LogSeverity {
-	if !full || (q.Route.Target > 0 && now.Sub(q.ArrivedAt) > q.Route.Target) {
+	if !full || (q.Route.Target > 0 && now.Sub(q.ArrivedAt)+q.NetworkTime > q.Route.Target) {
 		return event.LogImpaired
 	}
 	return event.LogOrdinary
@@ -154,6 +154,9 @@
 // Abandon ends a request whose caller disconnected. Idempotent exchanges are cancelled;
 // others run to their end.
 func (s *System) Abandon(now time.Time, id event.QueryID) {
+	if s.dropEarly(id) {
+		return
+	}
 	q := s.requests[id]
 	if q == nil || q.Done {
 		return
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	// List returns all entries and a revision; Watch after that revision misses no later
 	// change.
 	List(ctx context.Context) (changes []event.DirectoryChange, revision uint64, err error)
+	// Calls returns how many requests were sent to the source: a List may need several.
+	Calls() uint64
 	// Watch returns the changes after a revision. It waits for one until the time wait is
 	// over.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []event.DirectoryChange, revision uint64, err error)
@@ -46,15 +49,16 @@
 	// later, so that a connection that no longer carries data is noticed.
 	watchWait   = 900 * time.Millisecond
 	watchMargin = 600 * time.Millisecond
+	// confirmWait is the wait of the first watch of a reader that continues from a revision.
+	confirmWait = time.Millisecond
 	// minWatchInterval is the minimum time between the starts of two watches, so that
 	// changes in quick succession are read by one call.
 	minWatchInterval = 400 * time.Millisecond
-	// minRetryDelay and maxRetryDelay limit the exponential backoff after failed calls.
+	// minRetryDelay is the first delay of the exponential backoff after failed calls.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
 )
 
-// Reader reads a directory while it is active. It is active from the start.
+// Reader reads a directory while it is active. It is inactive until SetActive is called.
 type Reader struct {
 	clock  Clock
 	source Source
@@ -68,11 +72,39 @@
 	// cancelList cancels the current call of Source.List; it is nil while there is none.
 	cancelList context.CancelFunc
 
+	// confirm is set when the next watch returns at once, so that peers that waited for an
+	// update get one.
+	confirm bool
 	// listed is set while Watch can continue from revision.
 	listed   bool
 	revision uint64
+	// maxRetryDelay limits the backoff; it comes with the commands.
+	maxRetryDelay time.Duration
 	// failures counts the consecutive failed calls.
 	failures int
+	// The fields of Counters.
+	lists, compacted, watches, failed atomic.Uint64
+}
+
+// Counters counts the calls of a Reader since it was created.
+type Counters struct {
+	// Lists counts the calls of Source.List: at a start and, as Compacted counts, because the
+	// source no longer had the changes after a revision.
+	Lists     uint64 `json:"lists"`
+	Compacted uint64 `json:"history-lost"`
+	// Watches counts the calls of Source.Watch, and Failures those calls of both that failed.
+	Watches  uint64 `json:"watches"`
+	Failures uint64 `json:"failures"`
+	// Calls counts the requests that these calls sent to the source.
+	Calls uint64 `json:"calls"`
+}
+
+// Counters returns the counters. It is safe for concurrent use.
+func (r *Reader) Counters() Counters {
+	return Counters{
+		Lists: r.lists.Load(), Compacted: r.compacted.Load(), Watches: r.watches.Load(),
+		Failures: r.failed.Load(), Calls: r.source.Calls(),
+	}
 }
 
 // NewReader returns a reader. It reads once Run is called.
@@ -97,7 +129,7 @@
 
 // Run posts the directory's content and changes to the sink until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	active := true
+	active := false
 	for ctx.Err() == nil {
 		active = r.applyCommand(active)
 		if !active {
@@ -115,8 +147,9 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			r.failures++
+			r.failed.Add(1)
 			r.sink.Post(event.DirectoryUnreachable{Cause: err.Error()})
-			interval = min(minRetryDelay<<min(r.failures-1, 4), maxRetryDelay)
+			interval = min(minRetryDelay<<min(r.failures-1, 5), max(r.maxRetryDelay, minRetryDelay))
 			began = r.clock.Now()
 		} else {
 			r.failures = 0
@@ -135,8 +168,9 @@
 	if c == nil {
 		return active
 	}
+	r.maxRetryDelay = c.MaxRetryDelay
 	if c.Active && !active && c.Revision > 0 {
-		r.listed, r.revision = true, max(r.revision, c.Revision)
+		r.listed, r.confirm, r.revision = true, true, max(r.revision, c.Revision)
 	}
 	return c.Active
 }
@@ -163,6 +197,7 @@
 		defer cancel()
 		r.setCancelList(cancel)
 		defer r.setCancelList(nil)
+		r.lists.Add(1)
 		changes, revision, err := r.source.List(ctx)
 		if err != nil {
 			return err
@@ -173,8 +208,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
 	defer cancel()
-	changes, revision, err := r.source.Watch(ctx, r.revision, watchWait)
+	maxWait := watchWait
+	if r.confirm {
+		maxWait = confirmWait
+	}
+	r.watches.Add(1)
+	changes, revision, err := r.source.Watch(ctx, r.revision, maxWait)
 	if errors.Is(err, ErrCompacted) {
+		r.compacted.Add(1)
 		r.listed = false
 		return nil
 	}
@@ -182,11 +223,12 @@
 		return err
 	}
 	r.revision = max(r.revision, revision)
+	r.confirm = false
 	asOf := now
 	if len(changes) == 0 {
 		// Without changes, the source answers at the end of the wait, so the content is
 		// current as of then.
-		asOf = now.Add(min(watchWait, r.clock.Now().Sub(now)))
+		asOf = now.Add(min(maxWait, r.clock.Now().Sub(now)))
 	}
 	r.sink.Post(event.DirectoryRead{Changes: changes, Revision: r.revision, AsOf: asOf})
 	return nil
--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -28,6 +28,11 @@
 	// maxFreshIdle is the maximum time that a connection may have been idle to be used for
 	// a request that can't be retried. Servers may drop idle connections without notice.
 	maxFreshIdle = 250 * time.Millisecond
+	// surplusIdle is how long an unused connection is kept beyond the first keptIdle ones to
+	// an address. All instances together may open only so many connections to a server, and
+	// those that one of them opened for a burst would keep the others out.
+	surplusIdle = 2 * time.Second
+	keptIdle    = 2
 	// sweepInterval is the interval at which expired connections are closed.
 	sweepInterval = time.Second
 	// readBufferSize is the size of a connection's read buffer in bytes.
@@ -65,6 +70,25 @@
 	keepUntil time.Time
 	// written counts the bytes that were passed to the connection.
 	written atomic.Int64
+	// namesRequests is set once a reply on the connection has named its request. A later reply
+	// that names none belongs to no known request.
+	namesRequests bool
+	// readLimit is the number of bytes that may still be read in this phase of the exchange.
+	readLimit int
+}
+
+// limitReads sets the number of bytes that may be read from the connection from now on.
+// Bytes that are in the read buffer already don't count.
+func (c *conn) limitReads(n int) { c.readLimit = n }
+
+// Read implements net.Conn. It fails with a malformedError once the limit is exceeded.
+func (c *conn) Read(b []byte) (n int, err error) {
+	if c.readLimit <= 0 {
+		return 0, malformedError{errors.New("the reply has too many bytes for its status line, headers or body")}
+	}
+	n, err = c.Conn.Read(b[:min(len(b), c.readLimit)])
+	c.readLimit -= n
+	return n, err
 }
 
 // Write implements net.Conn. It counts bytes as written before it passes them to the
@@ -96,7 +120,9 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	c = &conn{Conn: raw, address: address}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // acquire counts one more connection to an address as in use.
@@ -215,15 +241,18 @@
 	}
 }
 
-// closeExpired closes the unused connections that have expired or are no longer usable.
+// closeExpired closes the unused connections that have expired, are no longer usable, or exceed
+// what the traffic needs.
 func (p *connPool) closeExpired() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for address, h := range p.hosts {
 		live := h.idle[:0]
-		for _, c := range h.idle {
-			if now.Before(c.keepUntil) && c.usable() {
+		for i, c := range h.idle {
+			// The least recently used connections come first.
+			surplus := len(h.idle)-i > keptIdle && now.Sub(c.usedAt) > surplusIdle
+			if now.Before(c.keepUntil) && !surplus && c.usable() {
 				live = append(live, c)
 				continue
 			}
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,7 +94,7 @@
 	ctx := b.Begin(context.Background(), id)
 	return b.Exchange(ctx, event.SendExchange{
 		Attempt: id, RequestID: requestID, Server: "s1", Address: address, Connections: 4, Deadline: time.Now().Add(400 * time.Millisecond),
-	}, &pass.Request{Method: "POST", Target: "/a//b/../c?x=%20", Host: "h.example", Header: http.Header{}, Body: []byte("body"), RequestID: requestID})
+	}, &pass.Request{Method: "POST", Target: "/a//b/../c?x=%20", Host: "h.example", Header: http.Header{"X-Request": {requestID}}, Body: []byte("body"), RequestID: requestID})
 }
 
 // TestExchangeReportsHowItEnds checks the result of an exchange for complete, incomplete,
@@ -176,9 +178,12 @@
 	if got, want := r.Header.Get("X-Expect"), "s1"; got != want {
 		t.Errorf("expected server: got %q, want %q", got, want)
 	}
+	if got, want := r.Header["X-Request"], []string{"r1"}; !slices.Equal(got, want) {
+		t.Errorf("request ID: got %q, want %q", got, want)
+	}
 	for name := range r.Header {
 		switch name {
-		case "X-Expect", "X-Patience", "Content-Length":
+		case "X-Request", "X-Expect", "X-Patience", "Content-Length":
 		default:
 			t.Errorf("header %s was added", name)
 		}
@@ -214,6 +219,38 @@
 	}
 }
 
+// TestLateReplyIsNotTakenForNextAnswer checks that a second copy of a reply that arrives when
+// the next request is already on its way is not taken for the answer to it, also if the copy
+// doesn't name its request.
+func TestLateReplyIsNotTakenForNextAnswer(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		t.Run(fmt.Sprint("copy names its request ", named), func(t *testing.T) {
+			first := ""
+			address, _ := rawServer(t, func(n int, r *http.Request) string {
+				switch {
+				case n == 1:
+					first = okReply(r, "one")
+					return first
+				case n == 2 && named:
+					return first + okReply(r, "right")
+				case n == 2:
+					return strings.Replace(first, "X-Request: r1\r\n", "", 1) + okReply(r, "right")
+				}
+				return okReply(r, "right")
+			})
+			b := pass.NewBackendClient(systemClock{}, names)
+			defer b.Close()
+			exchange(b, address, "r1", 1)
+			if got := exchange(b, address, "r2", 2); got.Kind != event.BadReply {
+				t.Errorf("exchange that gets the copy: got %v, want %v", got.Kind, event.BadReply)
+			}
+			if got := exchange(b, address, "r3", 3); got.Kind != event.Answered || string(got.Reply.Body) != "right" {
+				t.Errorf("next exchange: got %v (%s), want the answer to it", got.Kind, got.Detail)
+			}
+		})
+	}
+}
+
 // TestConnectionsAreReused checks that consecutive requests share one connection.
 func TestConnectionsAreReused(t *testing.T) {
 	address, connections := rawServer(t, func(_ int, r *http.Request) string { return okReply(r, "yes") })
@@ -464,3 +501,88 @@
 		})
 	}
 }
+
+// networkTimeRecorder is an executor that records the network time of each request.
+type networkTimeRecorder struct{ got []time.Duration }
+
+func (x *networkTimeRecorder) ExecuteRouted(_ context.Context, r event.RoutedRequest, _ *pass.Request) event.Command {
+	x.got = append(x.got, r.NetworkTime)
+	return event.RoutedRefusal{Code: event.RefuseOverload, Outcome: event.OutcomeNotRun, Detail: "test"}
+}
+func (x *networkTimeRecorder) CallerLimits() model.CallerLimits { return model.CallerLimits{} }
+func (x *networkTimeRecorder) Leaving() bool                    { return false }
+
+// TestNetworkTimeIncludesSetupOfNewConnection checks that the network time of the first request
+// on a connection is two round trips, and that of the next one a single round trip.
+func TestNetworkTimeIncludesSetupOfNewConnection(t *testing.T) {
+	x := &networkTimeRecorder{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: pass.NewCallerHandler(names, x), ConnContext: pass.ConnContext, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	for range 2 {
+		reply, err := http.Get("http://" + l.Addr().String() + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, reply.Body)
+		_ = reply.Body.Close()
+	}
+	if len(x.got) != 2 || x.got[0] <= 0 || x.got[0] != 2*x.got[1] {
+		t.Errorf("network times of two requests on a connection: got %v, want twice a round trip and one", x.got)
+	}
+}
+
+// TestSurplusConnectionsAreClosed checks that connections that a burst needed are closed soon
+// after it, except for a few: the server accepts only so many of all instances together.
+func TestSurplusConnectionsAreClosed(t *testing.T) {
+	var open atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+			w.Header().Set("X-Request", r.Header.Get("X-Request"))
+			w.Header().Set("X-Stamp", "st")
+		}),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				open.Add(1)
+			case http.StateClosed:
+				open.Add(-1)
+			default:
+			}
+		},
+	}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	b := pass.NewBackendClient(systemClock{}, names)
+	defer b.Close()
+	var group sync.WaitGroup
+	for n := range 10 {
+		group.Go(func() {
+			id := event.AttemptID{Instance: "i", Query: 1, Number: n}
+			b.Exchange(b.Begin(context.Background(), id), event.SendExchange{
+				Attempt: id, RequestID: "r1", Server: "s1", Address: l.Addr().String(), Connections: 20, Deadline: time.Now().Add(5 * time.Second),
+			}, &pass.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"X-Request": {"r1"}}, RequestID: "r1"})
+		})
+	}
+	group.Wait()
+	if got, want := open.Load(), int64(10); got != want {
+		t.Errorf("connections after ten requests at once: got %d, want %d", got, want)
+	}
+	for range 100 {
+		if open.Load() <= 2 {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Errorf("connections 10s later: got %d, want at most 2", open.Load())
+}
