Directory, budget, log: an outage ends by any update; a reload keeps counts; bounded lines

Found by reading, each with a test that failed: an update that couldn't be applied, as changes before it were missed, didn't end the outage; a reload with a shorter retry window forgot the extra attempts (10 sent, 5 allowed), one with a longer window never aged them.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -422,6 +422,9 @@
 	}
 	asOf := now.Add(-time.Duration(update.AgeMicros) * time.Microsecond)
 	newer := update.Revision > s.revision
+	if now.Sub(asOf) < peerUpdateTimeout {
+		e.markDirectoryReachable(now, from, update)
+	}
 	if newer && !update.Full && update.BaseRevision > s.revision {
 		// This instance missed the changes in between.
 		if now.Sub(s.requestedAt) >= minDirectoryRequestInterval {
@@ -430,9 +433,6 @@
 		}
 		return
 	}
-	if now.Sub(asOf) < peerUpdateTimeout {
-		e.markDirectoryReachable(now, from, update)
-	}
 	first := !e.Roster.Loaded()
 	read := event.DirectoryRead{Changes: update.Changes, Full: update.Full, Revision: update.Revision, AsOf: asOf}
 	if newer {
@@ -507,10 +507,30 @@
 	}
 }
 
-// emitChanges emits several changes of state.
+// maxChangesAtOnce is the maximum number of changes of one update that are logged one by one. A
+// directory outage changes the state of every server, and the log's queue must have room for
+// the lines of requests.
+const maxChangesAtOnce = 100
+
+// emitChanges emits several changes of state. Of those beyond maxChangesAtOnce it emits the
+// number of each kind only.
 func (e *Engine) emitChanges(changes []event.StateChanged) {
-	for _, c := range changes {
-		e.Emit(c)
+	type kind struct{ kind, from, to string }
+	counts := map[kind]int{}
+	var order []kind
+	for i, c := range changes {
+		if i < maxChangesAtOnce {
+			e.Emit(c)
+			continue
+		}
+		k := kind{c.Kind, c.From, c.To}
+		if counts[k] == 0 {
+			order = append(order, k)
+		}
+		counts[k]++
+	}
+	for _, k := range order {
+		e.Emit(event.StateChanged{Kind: k.kind, Name: fmt.Sprintf("%d more", counts[k]), From: k.from, To: k.to, Cause: "as above"})
 	}
 }
 
--- a/core/engine/directory_test.go
+++ b/core/engine/directory_test.go
@@ -305,3 +305,51 @@
 		t.Error("the new instance lacks the evacuation of dc1")
 	}
 }
+
+// TestLogOfOutageIsBounded checks that the log of a directory outage, which changes the state of
+// every server, has a limited number of lines, and that they tell the number of servers.
+func TestLogOfOutageIsBounded(t *testing.T) {
+	r := newRoutedInstance("a")
+	changes := []event.DirectoryChange{routingEntry(1)}
+	for i := range 1000 {
+		changes = append(changes, serverEntry(fmt.Sprintf("s%04d", i), "dc0"))
+	}
+	r.emitted = nil
+	r.tick(r.fullRead(changes...))
+	lines, servers := 0, 0
+	for _, c := range r.emitted {
+		s, ok := c.(event.StateChanged)
+		if !ok || s.Kind != "server" {
+			continue
+		}
+		lines++
+		more := 1
+		if _, err := fmt.Sscanf(s.Name, "%d more", &more); err != nil {
+			more = 1
+		}
+		servers += more
+	}
+	if got, want := lines, 200; got > want {
+		t.Errorf("lines about 1000 servers: got %d, want at most %d", got, want)
+	}
+	if got, want := servers, 1000; got != want {
+		t.Errorf("servers that the lines tell of: got %d, want %d", got, want)
+	}
+}
+
+// TestMissedUpdateStillShowsThatDirectoryIsReachable checks that an update which can't be applied,
+// because changes before it were missed, ends the outage all the same: the peer has read the
+// directory.
+func TestMissedUpdateStillShowsThatDirectoryIsReachable(t *testing.T) {
+	r := newRoutedInstance("b")
+	r.tick(r.fullRead(routingEntry(1), serverEntry("s1", "dc0")))
+	r.link("a")
+	r.tick(event.DirectoryUnreachable{Cause: "timeout"})
+	r.receiveUpdate("a", event.DirectoryUpdate{BaseRevision: 12, Revision: 14, RecoveredMicros: 1000, Reader: "a"})
+	if r.Roster.Unreachable() {
+		t.Errorf("directory after a peer's update: got unreachable, want reachable")
+	}
+	if got, _ := r.DirectoryRevision(); got != 10 {
+		t.Errorf("revision: got %d, want 10, as changes were missed", got)
+	}
+}
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -32,11 +32,24 @@
 	buckets [budgetBuckets]struct{ first, extra int }
 	// head is the number of the newest bucket, counted from the Unix epoch.
 	head int64
+	// window is the length of the window that the buckets divide.
+	window time.Duration
 }
 
-// advance clears the buckets that have left the window.
+// advance clears the buckets that have left the window. After a change of the window's length
+// the extra attempts count as recent, since the buckets don't show when they were sent; of the
+// first ones a shorter window keeps a share.
 func (b *budget) advance(now time.Time, window time.Duration) {
 	head := now.UnixNano() / int64(window/budgetBuckets)
+	if window != b.window {
+		first, extra := b.totals()
+		if window < b.window {
+			first = int(float64(first) * float64(window) / float64(b.window))
+		}
+		*b = budget{head: head, window: window}
+		b.buckets[head%budgetBuckets] = struct{ first, extra int }{first, extra}
+		return
+	}
 	for n := max(b.head+1, head-budgetBuckets+1); n <= head; n++ {
 		b.buckets[n%budgetBuckets] = struct{ first, extra int }{}
 	}
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -7,6 +7,7 @@
 
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/relay"
 )
 
 // The tests of this file simulate load together with one kind of server fault, and check
@@ -435,3 +436,32 @@
 		})
 	}
 }
+
+// TestRetryBudgetSurvivesChangeOfItsWindow checks that a reload of the settings that makes the
+// window of the retry budget longer or shorter neither forgets the extra attempts that were sent
+// nor keeps them forever.
+func TestRetryBudgetSurvivesChangeOfItsWindow(t *testing.T) {
+	for _, window := range []time.Duration{5 * time.Second, 40 * time.Second} {
+		t.Run(window.String(), func(t *testing.T) {
+			w := newSimulation(7, 1, gatherRoute())
+			w.Options.Retries = relay.RetryBudget{Ratio: 0, Slack: 40, Window: 10 * time.Second}
+			w.eachServer(func(_ int, s *simServer) { s.shedFraction = 1 })
+			extra := func() uint64 { return w.Counters.AttemptsRetry + w.Counters.AttemptsHedge }
+			w.sendLoad(45, 2*time.Second)
+			// The share of one of four instances, of which half is used.
+			const share = 40 / 4 / 2
+			if got := extra(); got != share {
+				t.Fatalf("extra attempts: got %d, want %d, the whole budget", got, share)
+			}
+			w.Options.Retries.Window = window
+			w.sendLoad(45, 2*time.Second)
+			if got := extra(); got != share {
+				t.Errorf("extra attempts 2s after the change: got %d, want %d still", got, share)
+			}
+			w.sendLoad(45, window)
+			if got := extra(); got <= share {
+				t.Errorf("extra attempts a window later: got %d, want more than %d", got, share)
+			}
+		})
+	}
+}
