Start: requests wait for servers that register again after an outage

Change: within 2 s after the directory was loaded a request for which too few servers are registered waits as one that comes before the directory, and is tried at each change.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -391,7 +391,7 @@
 		s.asOf = v.AsOf
 	}
 	if e.Roster.Loaded() {
-		e.Relay.DirectoryLoaded(now)
+		e.Relay.DirectoryChanged(now)
 		e.reportReadiness(now)
 	}
 }
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -60,11 +60,15 @@
 	}
 	q.AnswerBy = arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
 	s.createLegs(q)
+	reason := s.unsatisfiable(now, q)
+	if reason != "" && s.awaitServers(now, arrivedAt, r) {
+		return
+	}
 	for i := range q.Legs {
 		// Refused requests count as well: the budget is a fraction of the requests received.
 		s.recordFirstAttempt(now, q.Legs[i].Group)
 	}
-	if reason := s.unsatisfiable(now, q); reason != "" {
+	if reason != "" {
 		s.refuse(now, q, event.RefuseNoReplica, longRetryAfter, reason)
 		return
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -52,10 +52,12 @@
 	table         *model.RoutingTable
 	instanceCount int
 
-	// early holds the requests that wait for the directory; directoryFailed is set while it is
-	// not loaded and doesn't answer.
+	// early holds the requests that wait for the directory or its servers; directoryFailed is
+	// set while the directory is not loaded and doesn't answer, and loadedAt is when it was
+	// first loaded.
 	early           []earlyRequest
 	directoryFailed bool
+	loadedAt        time.Time
 
 	requests map[event.QueryID]*Request
 	attempts map[event.AttemptID]*Attempt
@@ -143,7 +145,7 @@
 	timerRetry
 	// timerCancel cancels an attempt whose leg another attempt has completed.
 	timerCancel
-	// timerStartWait refuses a request that waits for the directory.
+	// timerStartWait ends the wait of a request for the directory or its servers.
 	timerStartWait
 	// timerCrashCheck resumes a leg whose connection check took too long.
 	timerCrashCheck
--- a/core/relay/startup.go
+++ b/core/relay/startup.go
@@ -15,9 +15,14 @@
 	maxStartWaitFraction = 0.25
 	// maxStartQueue is the maximum number of such requests.
 	maxStartQueue = 512
+	// registrationTime is the time after the directory was loaded within which servers may
+	// still register: those whose entries lapsed during an outage of the directory are back
+	// within about two seconds.
+	registrationTime = 2 * time.Second
 )
 
-// earlyRequest is a request that arrived before the directory was loaded.
+// earlyRequest is a request that arrived before the directory was loaded, or before enough of its
+// servers had registered.
 type earlyRequest struct {
 	event.RoutedRequest
 	arrivedAt time.Time
@@ -31,25 +36,41 @@
 // loss of all instances the caller's retry would reach another one that has just started, and
 // callers retry only a few times.
 func (s *System) awaitDirectory(now time.Time, r event.RoutedRequest) bool {
-	if s.directoryFailed || len(s.early) >= maxStartQueue {
-		return false
-	}
+	return !s.directoryFailed && s.keepEarly(now, now, r)
+}
+
+// awaitServers keeps a request for which too few servers are registered, if the directory was
+// loaded only recently.
+func (s *System) awaitServers(now, arrivedAt time.Time, r event.RoutedRequest) bool {
+	return now.Sub(s.loadedAt) < registrationTime && s.keepEarly(now, arrivedAt, r)
+}
+
+// keepEarly keeps a request until the directory changes or its wait is over. It returns false if
+// its wait is over or too many requests wait.
+func (s *System) keepEarly(now, arrivedAt time.Time, r event.RoutedRequest) bool {
 	wait := maxStartWait
 	if r.CallerTimeout > 0 {
 		wait = min(wait, time.Duration(maxStartWaitFraction*float64(r.CallerTimeout)))
 	}
-	s.early = append(s.early, earlyRequest{RoutedRequest: r, arrivedAt: now})
-	s.timers.Set(now.Add(wait), timerEvent{kind: timerStartWait, request: r.Query})
+	end := arrivedAt.Add(wait)
+	if !now.Before(end) || len(s.early) >= maxStartQueue {
+		return false
+	}
+	s.early = append(s.early, earlyRequest{RoutedRequest: r, arrivedAt: arrivedAt})
+	s.timers.Set(end, timerEvent{kind: timerStartWait, request: r.Query})
 	return true
 }
 
-// DirectoryLoaded serves the requests that waited for the directory, if a routing table is known
-// as well.
-func (s *System) DirectoryLoaded(now time.Time) {
+// DirectoryChanged serves the requests that waited for the directory or its servers, if a routing
+// table is known. It is called after each change of the directory.
+func (s *System) DirectoryChanged(now time.Time) {
 	s.directoryFailed = false
 	if !s.ready() {
 		return
 	}
+	if s.loadedAt.IsZero() {
+		s.loadedAt = now
+	}
 	early := s.early
 	s.early = nil
 	for _, r := range early {
@@ -66,9 +87,16 @@
 	}
 }
 
-// endStartWait refuses a request that has waited for the directory for too long.
+// endStartWait refuses a request that has waited for too long.
 func (s *System) endStartWait(now time.Time, id event.QueryID) {
-	if i := s.earlyIndex(id); i >= 0 {
+	i := s.earlyIndex(id)
+	switch {
+	case i < 0:
+	case s.ready():
+		r := s.early[i]
+		s.early = slices.Delete(s.early, i, i+1)
+		s.serve(now, r.arrivedAt, r.RoutedRequest)
+	default:
 		s.refuseEarly(now, i, "the directory has not been read yet")
 	}
 }
--- a/core/relay/startup_test.go
+++ b/core/relay/startup_test.go
@@ -22,7 +22,7 @@
 		again.Version = version
 		w.Configure(&again)
 		w.Servers.Apply(w.now, event.DirectoryRead{Changes: changes, Full: true})
-		w.DirectoryLoaded(w.now)
+		w.DirectoryChanged(w.now)
 	}
 	return w, load
 }
@@ -74,3 +74,35 @@
 		t.Errorf("answers: got %d and %d in flight, want %d and none", got, w.InFlight(), want)
 	}
 }
+
+// TestRequestsWaitForServersThatRegisterAgain checks that requests are answered that arrive right
+// after a total stop in which the entries of servers lapsed: two of ten groups register 300 ms
+// after the directory was loaded, and nine are required. Two seconds after the load a group
+// without servers is no longer waited for.
+func TestRequestsWaitForServersThatRegisterAgain(t *testing.T) {
+	w, load := startingSimulation()
+	load()
+	var lapsed, again []event.DirectoryChange
+	for _, c := range w.Servers.AllEntries(w.now) {
+		if g := c.Server.Group; g == "g0" || g == "g1" {
+			lapsed, again = append(lapsed, event.DirectoryChange{Key: c.Key}), append(again, c)
+		}
+	}
+	w.Servers.Apply(w.now, event.DirectoryRead{Changes: lapsed})
+	w.sendLoad(45, 300*ms)
+	w.Servers.Apply(w.now, event.DirectoryRead{Changes: again})
+	w.DirectoryChanged(w.now)
+	w.run(time.Second)
+	for _, r := range w.results {
+		if r.refusal != "" || r.parts < 9 {
+			t.Errorf("request %d: got refusal %q and %d parts, want an answer of 9 parts or more", r.id, r.refusal, r.parts)
+		}
+	}
+	w.run(time.Second)
+	w.Servers.Apply(w.now, event.DirectoryRead{Changes: lapsed})
+	w.results = nil
+	w.sendRequest()
+	if len(w.results) != 1 || w.results[0].refusal != event.RefuseNoReplica || w.results[0].outcome != event.OutcomeNotRun {
+		t.Errorf("request 2s after the load: got %+v, want a refusal as not run at once", w.results)
+	}
+}
