Engine: split the directory's source and the start from its updates; refuse ages that overflow

The files reader.go and startup.go take what decides who reads the directory and how an instance that starts gets it; nothing else changed there. An age in a peer's message that overflows a duration put the copy's time into the future, after which the instance never read the directory again; it is refused now.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -2,24 +2,13 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
-	"hyssoppitch/core/route"
 )
 
 const (
-	// peerUpdateTimeout is the time without an update from a peer after which the second
-	// instance in the order of readers reads the directory as well. Instances that read it
-	// send an update about once a second.
-	peerUpdateTimeout = 1600 * time.Millisecond
-	// takeoverDelay is added to peerUpdateTimeout for each further instance in the order of
-	// readers, up to maxTakeoverDelay, so that they don't all begin at once. It is the
-	// interval at which the source is chosen.
-	takeoverDelay    = maintenanceInterval
-	maxTakeoverDelay = 2 * time.Second
 	// directoryStaleAfter is the age of the local copy after which peers are asked for a
 	// newer one. It exceeds the time between two answers of the directory.
 	directoryStaleAfter = 2500 * time.Millisecond
@@ -32,36 +21,6 @@
 	// minForwardFreshness is how much more recent an update without changes must be than
 	// the previous one of the same reader to be forwarded.
 	minForwardFreshness = 300 * time.Millisecond
-	// firstRetryDelay and laterRetryDelay are the maximum delays between failed calls to the
-	// directory, of the first two readers and the seeds, and of the others.
-	firstRetryDelay = 800 * time.Millisecond
-	laterRetryDelay = 2 * time.Second
-	// readerTTL is how long a reader is remembered after its last update.
-	readerTTL = 10 * time.Second
-	// startListDelay is the time after its start at which an instance without the directory
-	// reads it itself, unless it reads it first, and unlinkedListDelay the same for an instance
-	// without links. A random time of up to startListJitter is added. startListDelay applies
-	// after a failed read, too.
-	startListDelay    = 900 * time.Millisecond
-	unlinkedListDelay = 400 * time.Millisecond
-	startListJitter   = 500 * time.Millisecond
-	// remoteRequestDelay is the time after its start at which the first instance in the order
-	// of readers asks a peer of another data centre for the directory; the others ask after
-	// twice that time, as they get it from the first one.
-	remoteRequestDelay = 400 * time.Millisecond
-	// startCheckInterval and startRequestInterval are the intervals at which an instance
-	// without a copy checks whether to read the directory itself, and asks a peer for it.
-	startCheckInterval   = 100 * time.Millisecond
-	startRequestInterval = 300 * time.Millisecond
-	// maxStartListDelay limits startListDelay, which doubles after each failed read while
-	// there are peers that may send the directory.
-	maxStartListDelay = 4 * startListDelay
-	// establishedAge is how much earlier than this instance a peer must have started to be
-	// expected to have the directory.
-	establishedAge = 5 * time.Second
-	// membershipSettleTime is the time after the start within which an instance that got the
-	// directory from a peer doesn't become a reader: it doesn't know all members yet.
-	membershipSettleTime = 2500 * time.Millisecond
 )
 
 // directorySync tracks the local copy of the directory. In each data centre one instance,
@@ -92,10 +51,10 @@
 	asOf time.Time
 	// peerAsOf is the latest such time that a peer reported.
 	peerAsOf time.Time
-	// earlierReaderAsOf is the latest such time that a reader reported that is earlier in the
-	// order of readers than this instance, and readers the latest one of each reader.
-	earlierReaderAsOf time.Time
+	// readers holds the same for each reader of the data centre, and earlierReaderAsOf the latest
+	// of those that come before this instance in the order of readers.
 	readers           map[model.InstanceID]time.Time
+	earlierReaderAsOf time.Time
 	// active is set while this instance reads the directory itself.
 	active bool
 	// requestedAt is when a peer was last asked for the directory.
@@ -112,140 +71,6 @@
 	return e.directory.revision, e.directory.asOf
 }
 
-// chooseDirectorySource decides whether this instance reads the directory itself, and
-// asks a peer for it if the local copy may be stale.
-func (e *Engine) chooseDirectorySource(now time.Time) {
-	s := &e.directory
-	switch active, cause := e.shouldReadDirectory(now); {
-	case active && !s.active:
-		s.active = true
-		e.Emit(event.FollowDirectory{Active: true, Revision: s.revision, MaxRetryDelay: e.maxRetryDelay()})
-		e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "directory", Cause: cause})
-	case !active && s.active:
-		e.stopReadingDirectory(cause)
-	}
-	interval := directoryRequestInterval
-	if !e.Roster.Loaded() {
-		interval = startRequestInterval
-		s.checkAt = now.Add(startCheckInterval)
-	}
-	if e.directoryMayBeStale(now) && now.Sub(s.requestedAt) >= interval {
-		if peers := e.directoryPeers(now); len(peers) > 0 {
-			e.requestDirectory(now, peers[s.requests%len(peers)])
-		}
-	}
-}
-
-// maxRetryDelay returns the maximum delay between failed calls. It is short for the first two
-// readers, from which the others learn of the end of an outage.
-func (e *Engine) maxRetryDelay() time.Duration {
-	if e.readerRank() < 2 || e.directory.readsFirst {
-		return firstRetryDelay
-	}
-	return laterRetryDelay
-}
-
-// stopReadingDirectory leaves the reading of the directory to peers.
-func (e *Engine) stopReadingDirectory(cause string) {
-	e.directory.active = false
-	e.Emit(event.FollowDirectory{Active: false, Revision: e.directory.revision})
-	e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "peers", Cause: cause})
-}
-
-// shouldReadDirectory decides whether this instance reads the directory itself, and returns
-// the reason.
-func (e *Engine) shouldReadDirectory(now time.Time) (active bool, cause string) {
-	s := &e.directory
-	if !e.Roster.Loaded() {
-		switch {
-		case s.readsFirst || !now.Before(s.listAt):
-			return true, "no copy from peers yet"
-		case !s.listFailed && len(e.Members.Linked()) == 0 && !now.Before(s.listAt.Add(unlinkedListDelay-startListDelay)):
-			return true, "no peers yet"
-		}
-		return false, "peers are asked first"
-	}
-	rank := e.readerRank()
-	takeover := peerUpdateTimeout + min(time.Duration(max(rank-1, 0))*takeoverDelay, maxTakeoverDelay)
-	age := now.Sub(s.peerAsOf)
-	switch {
-	case rank == 0 && (s.active || now.Sub(s.startedAt) > membershipSettleTime):
-		return true, "first in the order of readers"
-	case s.active && now.Sub(s.earlierReaderAsOf) <= peerUpdateTimeout:
-		return false, "an instance that is earlier in the order of readers reads it"
-	case s.active:
-		return true, "no instance that is earlier in the order of readers reads it"
-	case age > takeover:
-		return true, fmt.Sprintf("last update from peers %s ago, number %d in the order of readers", age.Round(time.Millisecond), rank+1)
-	}
-	return false, "another instance of the data centre reads it"
-}
-
-// readerOrder returns the order of readers of this data centre. All live members count, with
-// or without a link to this instance.
-func (e *Engine) readerOrder() []model.InstanceID {
-	var local []model.InstanceID
-	for _, m := range e.Members.Rows() {
-		if m.IsLive() && m.DataCentre == e.Self.DataCentre {
-			local = append(local, m.ID)
-		}
-	}
-	return route.RankedOwners("directory", local, len(local))
-}
-
-// readerRank returns the position of this instance in the order of readers; zero is the first.
-func (e *Engine) readerRank() int {
-	return max(0, slices.Index(e.readerOrder(), e.Self.ID))
-}
-
-// recordReader records an update that was read by an instance. It reports whether the update
-// is to be forwarded: each reader's updates are, as several readers would not learn of each
-// other otherwise.
-func (e *Engine) recordReader(reader model.InstanceID, asOf time.Time) (forward bool) {
-	s := &e.directory
-	if reader == e.Self.ID {
-		return false
-	}
-	order := e.readerOrder()
-	if at := slices.Index(order, reader); at >= 0 && at < slices.Index(order, e.Self.ID) && asOf.After(s.earlierReaderAsOf) {
-		s.earlierReaderAsOf = asOf
-	}
-	if s.readers == nil {
-		s.readers = map[model.InstanceID]time.Time{}
-	}
-	for id, at := range s.readers {
-		if asOf.Sub(at) > readerTTL {
-			delete(s.readers, id)
-		}
-	}
-	if asOf.Sub(s.readers[reader]) <= minForwardFreshness {
-		return false
-	}
-	s.readers[reader] = asOf
-	return true
-}
-
-// directoryPeers returns the linked peers that may be asked for the directory now. While many
-// instances start together, one without a copy asks only those of its data centre at first,
-// because links between data centres are slow and the directory is large. Peers that have
-// been running for some time are asked at once.
-func (e *Engine) directoryPeers(now time.Time) (out []model.InstanceID) {
-	delay := remoteRequestDelay
-	if e.readerRank() > 0 {
-		delay *= 2
-	}
-	if e.Roster.Loaded() || now.Sub(e.directory.startedAt) >= delay {
-		return e.Members.Linked()
-	}
-	for _, m := range e.Members.Rows() {
-		established := m.Incarnation+model.Incarnation(establishedAge) < e.Self.Incarnation
-		if m.ID != e.Self.ID && m.Linked && (established || m.DataCentre == e.Self.DataCentre) {
-			out = append(out, m.ID)
-		}
-	}
-	return out
-}
-
 // dataCentrePeers returns the other live instances of this data centre to which this
 // instance has a link.
 func (e *Engine) dataCentrePeers() (out []model.InstanceID) {
@@ -278,13 +103,6 @@
 	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Revision: s.revision}})
 }
 
-// scheduleList sets when this instance reads the directory itself if it gets no copy from
-// peers before.
-func (e *Engine) scheduleList(now time.Time, delay time.Duration) {
-	e.directory.listDelay = delay
-	e.directory.listAt = now.Add(delay + time.Duration(e.rand.Int64N(int64(startListJitter))))
-}
-
 // sendDirectory sends the full local copy to a peer whose copy has an older revision. If there
 // is no local copy yet, the peer is told so, and is notified later.
 func (e *Engine) sendDirectory(now time.Time, to model.InstanceID, revision uint64) {
@@ -337,20 +155,6 @@
 	e.broadcastToDataCentre("", update)
 }
 
-// notifyWaitingPeers sends the current revision to the peers that asked for the directory when
-// there was no local copy. Those that lack it still will ask again.
-func (e *Engine) notifyWaitingPeers(now time.Time) {
-	if len(e.directory.waiting) == 0 || !e.Roster.Loaded() || e.Relay.Table().Version == 0 {
-		return
-	}
-	for _, id := range e.Members.Linked() {
-		if e.directory.waiting[id] {
-			e.Send(id, event.Message{Directory: e.newRevisionNotice(now)})
-		}
-	}
-	e.directory.waiting = nil
-}
-
 // newRevisionNotice returns an update with the current revision and without content. A
 // receiver that lacks the revision requests it. This avoids sending the full directory
 // to instances that already have most of it.
@@ -396,18 +200,6 @@
 	}
 }
 
-// checkDirectoryAtStart chooses the source of the directory more often than the periodic work
-// does while there is no copy. It returns when it must be called again, or the zero time.
-func (e *Engine) checkDirectoryAtStart(now time.Time) (due time.Time) {
-	if e.Roster == nil || e.Roster.Loaded() {
-		return time.Time{}
-	}
-	if !now.Before(e.directory.checkAt) {
-		e.chooseDirectorySource(now)
-	}
-	return e.directory.checkAt
-}
-
 // handleDirectoryUpdate applies a peer's update about the directory, and forwards it to
 // the data centre if it is new.
 func (e *Engine) handleDirectoryUpdate(now time.Time, from model.InstanceID, update *event.DirectoryUpdate) {
@@ -489,15 +281,7 @@
 func (e *Engine) handleDirectoryUnreachable(now time.Time, v event.DirectoryUnreachable) {
 	if !e.Roster.Loaded() {
 		e.Relay.DirectoryFailed(now)
-	}
-	if s := &e.directory; !e.Roster.Loaded() && !s.readsFirst {
-		s.listFailed = true
-		delay := startListDelay
-		if len(e.Members.Linked()) > 0 {
-			delay = min(2*s.listDelay, maxStartListDelay)
-		}
-		e.scheduleList(now, delay)
-		e.chooseDirectorySource(now)
+		e.postponeList(now)
 	}
 	if e.Roster.MarkUnreachable() {
 		e.Emit(event.StateChanged{Kind: "directory", Name: "directory", From: "reachable", To: "unreachable", Cause: v.Cause})
--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"time"
 
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
 )
 
+// maxAge is the maximum age in a message. Larger ones would overflow a time.Duration.
+const maxAge = 10 * 365 * 24 * time.Hour
+
 // refuseMessage logs that a message of a peer was ignored because of an invalid field.
 func (e *Engine) refuseMessage(from model.InstanceID, problem string) {
 	e.Emit(event.StateChanged{Kind: "peer-message", Name: string(from), To: "refused", Cause: problem})
@@ -47,9 +51,9 @@
 // holds a routing table: an instance without one doesn't send its copy.
 func invalidDirectory(u *event.DirectoryUpdate) (problem string) {
 	switch {
-	case u.AgeMicros < 0:
+	case u.AgeMicros < 0 || u.AgeMicros > maxAge.Microseconds():
 		return fmt.Sprintf("directory: age %d us", u.AgeMicros)
-	case u.RecoveredMicros < 0:
+	case u.RecoveredMicros < 0 || u.RecoveredMicros > maxAge.Microseconds():
 		return fmt.Sprintf("directory: recovered %d us ago", u.RecoveredMicros)
 	case !u.Full && u.BaseRevision > u.Revision:
 		return fmt.Sprintf("directory: base revision %d of revision %d", u.BaseRevision, u.Revision)
--- a/core/engine/invalid_test.go
+++ b/core/engine/invalid_test.go
@@ -28,6 +28,9 @@
 		{"negative age", event.Message{Directory: &event.DirectoryUpdate{
 			BaseRevision: 10, Revision: 12, AgeMicros: -5, Changes: []event.DirectoryChange{valid},
 		}}},
+		{"age that overflows", event.Message{Directory: &event.DirectoryUpdate{
+			BaseRevision: 10, Revision: 12, AgeMicros: math.MaxInt64, Changes: []event.DirectoryChange{valid},
+		}}},
 		{"negative time since the outage", event.Message{Directory: &event.DirectoryUpdate{
 			BaseRevision: 10, Revision: 12, RecoveredMicros: math.MinInt64, Changes: []event.DirectoryChange{valid},
 		}}},
