--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -89,10 +89,25 @@
 	Reason RefusalReason
 	// Reply is set when Kind is Answered.
 	Reply *Reply
+	// Limit is what the reply says about the server's rate limit. It is set when Kind is
+	// Answered, or Refused by the server itself.
+	Limit RateLimit
 	// Detail describes a failure, for logs.
 	Detail string
 }
 
+// RateLimit is the rate limit that a server names in a reply. The zero value means that the
+// reply names none.
+type RateLimit struct {
+	// Named is set if the reply names a valid limit.
+	Named bool
+	// PerSecond is the number of requests per second that the server takes from all
+	// instances together: zero or more.
+	PerSecond float64
+	// Problem explains why the named limit is invalid; empty if it is valid.
+	Problem string
+}
+
 // RoutedAnswer returns an answer to the caller of a routed request. Exactly one of
 // Relayed and Merged is set.
 type RoutedAnswer struct {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -128,6 +128,7 @@
 	b.InFlight++
 	s.attempts[a.ID] = a
 	s.recordColdRequest(now, b)
+	s.recordLimited(b)
 	decision := s.recordSent(now, l.Group, kind)
 	expectedLatency := s.expectedLatency(now, q.Route, b)
 	q.addStep(now, event.Step{Decision: decision, Server: b.ID, Group: l.Group, Expected: expectedLatency})
--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -27,6 +27,7 @@
 	delete(s.attempts, e.Attempt)
 	a.Server.InFlight--
 	s.recordOutcome(now, a, e)
+	s.recordLimit(now, a, e)
 	s.updateSuspicion(now, a, e)
 	q := s.requests[e.Attempt.Query]
 	if q == nil {
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -167,4 +167,10 @@
 	Suspected     uint64 `json:"crashing-requests-suspected"`
 	Condemned     uint64 `json:"crashing-requests-condemned"`
 	RefusedPoison uint64 `json:"requests-refused-poison"`
+	// LimitsNamed counts how often a server began to name a rate limit or changed it, and
+	// LimitsInvalid the replies with an invalid one. AttemptsLimited counts the attempts to
+	// servers with a rate limit.
+	LimitsNamed     uint64 `json:"rate-limits-named"`
+	LimitsInvalid   uint64 `json:"rate-limits-invalid"`
+	AttemptsLimited uint64 `json:"exchanges-rate-limited"`
 }
--- a/core/roster/health.go
+++ b/core/roster/health.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hyssoppitch/core/quota"
 )
 
 const (
@@ -43,6 +45,9 @@
 	DownUntil time.Time
 	Backoff   time.Duration
 
+	// Limit is the rate limit that the server names.
+	Limit quota.Limit
+
 	// stalledAt is when the last stall ended. stalled is set from then until an answer
 	// arrives in time.
 	stalledAt time.Time
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -286,17 +289,37 @@
 		end.Detail = "another server answered at the address: " + strconv.Quote(h.Get(b.names.Server))
 	case h.Get(b.names.NotRun) != "":
 		end.Kind, end.Reason, end.Detail = event.Refused, event.RefusedShed, "status "+strconv.Itoa(reply.StatusCode)
+		end.Limit = b.rateLimit(h)
 	case stamp == "":
 		end.Kind, end.Detail = event.BadReply, "status "+strconv.Itoa(reply.StatusCode)+" without a signature"
 	default:
 		end.Kind = event.Answered
 		end.Reply = &event.Reply{Status: reply.StatusCode, Stamp: stamp, Body: body, Fields: replyFields(h)}
+		end.Limit = b.rateLimit(h)
 		if !end.Reply.Success() {
 			end.Detail = "status " + strconv.Itoa(reply.StatusCode)
 		}
 	}
 }
 
+// decimalNumber matches a number of zero or more without a sign, exponent or unit.
+var decimalNumber = regexp.MustCompile(`^([0-9]+(\.[0-9]*)?|\.[0-9]+)$`)
+
+// rateLimit returns the rate limit that the headers of a reply name.
+func (b *BackendClient) rateLimit(h http.Header) (l event.RateLimit) {
+	values := h.Values(b.names.Limit)
+	if len(values) == 0 {
+		return l
+	}
+	value := strings.Join(values, ", ")
+	perSecond, err := strconv.ParseFloat(value, 64)
+	if err != nil || !decimalNumber.MatchString(value) {
+		l.Problem = fmt.Sprintf("%s: %.40q: want requests per second as a decimal number of zero or more", b.names.Limit, value)
+		return l
+	}
+	return event.RateLimit{Named: true, PerSecond: perSecond}
+}
+
 // replyFields returns the headers of a reply to relay, sorted by name.
 func replyFields(h http.Header) (out []event.HeaderField) {
 	kept := endToEndHeaders(h)
--- a/io/pass/pass.go
+++ b/io/pass/pass.go
@@ -29,6 +29,9 @@
 	Stamp string
 	// NotRun is set by a server that did not run the request.
 	NotRun string
+	// Limit is the number of requests per second that the server takes from all instances
+	// together. A server without a limit doesn't send it.
+	Limit string
 	// Stamps and Missing describe the coverage of a merged answer: the signatures of the
 	// parts in it, and the number of parts that are missing.
 	Stamps  string
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -21,6 +21,7 @@
 )
 
 var names = pass.HeaderNames{
+	Limit: "Server-Limit",
 	Request: "X-Request", CallerTimeout: "X-Patience", ExpectServer: "X-Expect", Server: "X-Server",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", Stamps: "X-Stamps", Missing: "X-Missing",
 }
