--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -21,7 +21,7 @@
 )
 
 var names = pass.HeaderNames{
-	Limit: "Server-Limit",
+	Limit:   "Server-Limit",
 	Request: "X-Request", CallerTimeout: "X-Patience", ExpectServer: "X-Expect", Server: "X-Server",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", Stamps: "X-Stamps", Missing: "X-Missing",
 }
@@ -144,6 +144,54 @@
 	}
 }
 
+// TestReplyNamesRateLimit checks which rate limits of a server are taken from its replies: a
+// valid one of an answer or a refusal, and none of a reply that another server sent.
+func TestReplyNamesRateLimit(t *testing.T) {
+	tests := []struct {
+		header string
+		want   event.RateLimit
+	}{
+		{"", event.RateLimit{}},
+		{"Server-Limit: 31.8\r\n", event.RateLimit{Named: true, PerSecond: 31.8}},
+		{"server-limit:  7 \r\n", event.RateLimit{Named: true, PerSecond: 7}},
+		{"Server-Limit: 0\r\n", event.RateLimit{Named: true}},
+		{"Server-Limit: .5\r\n", event.RateLimit{Named: true, PerSecond: 0.5}},
+		{"Server-Limit: -1\r\n", event.RateLimit{Problem: invalidLimit("-1")}},
+		{"Server-Limit: \r\n", event.RateLimit{Problem: invalidLimit("")}},
+		{"Server-Limit: NaN\r\n", event.RateLimit{Problem: invalidLimit("NaN")}},
+		{"Server-Limit: Inf\r\n", event.RateLimit{Problem: invalidLimit("Inf")}},
+		{"Server-Limit: 0x10\r\n", event.RateLimit{Problem: invalidLimit("0x10")}},
+		{"Server-Limit: 30/s\r\n", event.RateLimit{Problem: invalidLimit("30/s")}},
+		{"Server-Limit: 30\r\nServer-Limit: 40\r\n", event.RateLimit{Problem: invalidLimit("30, 40")}},
+		{"Server-Limit: " + strings.Repeat("9", 400) + "\r\n", event.RateLimit{Problem: invalidLimit(strings.Repeat("9", 40))}},
+	}
+	heads := map[string]event.RefusalReason{
+		"HTTP/1.1 200 OK\r\nX-Stamp: st\r\n":                     "",
+		"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n":                  event.RefusedShed,
+		"HTTP/1.1 421 Misdirected\r\nX-Server: someone-else\r\n": event.RefusedOther,
+	}
+	for _, tt := range tests {
+		for head, reason := range heads {
+			address, _ := rawServer(t, func(int, *http.Request) string { return head + tt.header + "Content-Length: 0\r\n\r\n" })
+			client := pass.NewBackendClient(systemClock{}, names)
+			end := exchange(client, address, "r1", 1)
+			client.Close()
+			want := tt.want
+			if reason == event.RefusedOther {
+				want = event.RateLimit{}
+			}
+			if end.Limit != want || end.Reason != reason {
+				t.Errorf("%q in %q: got %+v, %q; want %+v, %q", tt.header, head, end.Limit, end.Reason, want, reason)
+			}
+		}
+	}
+}
+
+// invalidLimit returns the problem of an invalid rate limit.
+func invalidLimit(value string) string {
+	return fmt.Sprintf("Server-Limit: %q: want requests per second as a decimal number of zero or more", value)
+}
+
 func TestFailedConnectionIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
