--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -31,6 +31,8 @@
 	lists     int
 	// falseSuspicions counts how often a running instance was suspected.
 	falseSuspicions int
+	// onCommand is called for the commands that the mesh doesn't execute itself; it may be nil.
+	onCommand func(n *meshNode, c event.Command)
 }
 
 type meshNode struct {
@@ -45,8 +47,10 @@
 	dialSeeds   bool
 	// readsDirectory is set while the instance reads the directory itself.
 	readsDirectory bool
-	// cutOff is set while the instance can't reach the store.
+	// cutOff is set while the instance can't reach the store, and isolated while it can't reach
+	// its peers.
 	cutOff    bool
+	isolated  bool
 	links     map[model.InstanceID]bool
 	due       time.Time
 	sentBytes int
@@ -58,7 +62,17 @@
 // listDuration is how long it takes to read the full directory.
 const listDuration = 150 * time.Millisecond
 
+// newMesh returns a mesh whose directory holds 200 servers of one group.
 func newMesh(n int) *mesh {
+	directory := []event.DirectoryChange{routingEntry(1)}
+	for i := range 200 {
+		directory = append(directory, serverEntry(fmt.Sprintf("server-%d", i), fmt.Sprintf("dc%d", i%meshDataCentres)))
+	}
+	return newMeshWith(n, directory)
+}
+
+// newMeshWith returns a mesh of n instances that start together.
+func newMeshWith(n int, directory []event.DirectoryChange) *mesh {
 	m := &mesh{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), nodes: map[model.InstanceID]*meshNode{}}
 	for i := range n {
 		id := model.InstanceID(fmt.Sprintf("i%04d", i))
@@ -67,10 +81,7 @@
 	}
 	m.seeds = slices.Clone(m.ids[:3])
 	m.revision = 10
-	m.directory = []event.DirectoryChange{routingEntry(1)}
-	for i := range 200 {
-		m.directory = append(m.directory, serverEntry(fmt.Sprintf("server-%d", i), fmt.Sprintf("dc%d", i%meshDataCentres)))
-	}
+	m.directory = directory
 	for _, id := range m.ids {
 		m.start(m.nodes[id])
 	}
@@ -213,6 +224,10 @@
 			}
 		case event.SendPeer:
 			m.send(n, c)
+		default:
+			if m.onCommand != nil {
+				m.onCommand(n, c)
+			}
 		}
 	}
 }
@@ -249,7 +264,7 @@
 			linkTargets = append(slices.Clone(linkTargets), m.seeds...)
 		}
 		for _, to := range linkTargets {
-			if to != id && m.nodes[to] != nil && !m.nodes[to].down {
+			if to != id && m.nodes[to] != nil && !m.nodes[to].down && !n.isolated && !m.nodes[to].isolated {
 				wanted[[2]model.InstanceID{min(id, to), max(id, to)}] = true
 			}
 		}
