--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -28,6 +29,8 @@
 		}
 	case m.Directory != nil:
 		return invalidDirectory(m.Directory)
+	case m.RateLimits != nil:
+		return invalidRateLimits(m.RateLimits)
 	case m.Suspects != nil:
 		if s := m.Suspects.State; s < event.SuspicionRaised || s > event.SuspicionCondemned {
 			return fmt.Sprintf("suspicion: state %d", s)
@@ -36,6 +39,34 @@
 	return ""
 }
 
+// invalidRateLimits returns the invalid field of a report of rate limits, or "".
+func invalidRateLimits(m *event.RateLimits) (problem string) {
+	for _, s := range m.Servers {
+		switch {
+		case s.Server == "" || s.Group == "":
+			return fmt.Sprintf("rate limits: server %q of group %q", s.Server, s.Group)
+		case !isRate(s.PerSecond):
+			return fmt.Sprintf("rate limits: server %q: %g requests per second", s.Server, s.PerSecond)
+		case s.AgeMicros < 0 || s.AgeMicros > maxAge.Microseconds():
+			return fmt.Sprintf("rate limits: server %q: age %d us", s.Server, s.AgeMicros)
+		}
+	}
+	for _, d := range m.Demands {
+		if d.Instance == "" {
+			return fmt.Sprintf("rate limits: demand without an instance, data centre %q", d.DataCentre)
+		}
+		for route, rate := range d.Routes {
+			if !isRate(rate) {
+				return fmt.Sprintf("rate limits: instance %q: route %q: %g requests per second", d.Instance, route, rate)
+			}
+		}
+	}
+	return ""
+}
+
+// isRate reports whether a number is a valid rate: finite, and zero or more.
+func isRate(f float64) bool { return f >= 0 && !math.IsInf(f, 0) }
+
 // invalidMember returns the invalid field of a member's update, or "".
 func invalidMember(u event.MemberUpdate) (problem string) {
 	switch {
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -34,6 +34,9 @@
 	if e.Roster != nil {
 		e.emitChanges(e.Roster.RemoveExpired(now))
 		e.chooseDirectorySource(now)
+		if m := e.Relay.SpreadRateLimits(now); m != nil {
+			e.Broadcast(event.Message{RateLimits: m})
+		}
 	} else if e.config.active.Version == 0 {
 		e.Broadcast(event.Message{GetRoot: &event.GetRoot{}})
 	}
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -23,6 +23,11 @@
 	for _, suspicion := range e.Suspects.Condemned(now) {
 		e.Send(p.ID, event.Message{Suspects: &suspicion})
 	}
+	if e.Relay != nil {
+		if m := e.Relay.AllRateLimits(now); m != nil {
+			e.Send(p.ID, event.Message{RateLimits: m})
+		}
+	}
 	e.Emit(event.StateChanged{Kind: "peer", Name: string(p.ID), To: "linked"})
 	e.refreshLiveInstances(now)
 	if e.Roster != nil && slices.Contains(e.directoryPeers(now), p.ID) {
@@ -93,6 +98,10 @@
 		e.sendDirectory(now, from, m.GetDirectory.Revision)
 	case m.Directory != nil:
 		e.handleDirectoryUpdate(now, from, m.Directory)
+	case m.RateLimits != nil:
+		if e.Relay != nil {
+			e.Relay.HandleRateLimits(now, from, m.RateLimits)
+		}
 	case m.Suspects != nil:
 		if e.Suspects.Apply(now, *m.Suspects) {
 			e.Emit(event.StateChanged{
@@ -185,6 +194,9 @@
 	}
 	for _, update := range updates {
 		e.Emit(event.StateChanged{Kind: "member", Name: string(update.Instance.ID), To: update.State.String()})
+		if e.Relay != nil && update.State == event.MemberLeft {
+			e.Relay.ForgetInstance(update.Instance.ID)
+		}
 	}
 	e.broadcastExcept(from, event.Message{Members: &event.Members{Updates: updates}})
 	e.refreshLiveInstances(now)
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -25,6 +25,38 @@
 	Directory    *DirectoryUpdate `cbor:"15,keyasint,omitempty"`
 
 	GetMembers *GetMembers `cbor:"16,keyasint,omitempty"`
+
+	RateLimits *RateLimits `cbor:"17,keyasint,omitempty"`
+}
+
+// RateLimits reports the rate limits of backend servers, and the demand by which the instances
+// divide them. Both are passed on until all instances have them.
+type RateLimits struct {
+	Servers []ServerLimit    `cbor:"1,keyasint,omitempty"`
+	Demands []InstanceDemand `cbor:"2,keyasint,omitempty"`
+}
+
+// ServerLimit is the rate limit of one incarnation of a backend server.
+type ServerLimit struct {
+	Server model.ServerID `cbor:"1,keyasint"`
+	Group  string         `cbor:"2,keyasint"`
+	Life   string         `cbor:"3,keyasint"`
+	// Active is set if the server names a limit, which is PerSecond then.
+	Active    bool    `cbor:"4,keyasint,omitempty"`
+	PerSecond float64 `cbor:"5,keyasint,omitempty"`
+	// AgeMicros is how many microseconds ago this was observed.
+	AgeMicros int64 `cbor:"6,keyasint"`
+}
+
+// InstanceDemand announces the requests per second that callers send to an instance.
+type InstanceDemand struct {
+	Instance    model.InstanceID  `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	// Number counts the announcements of an incarnation.
+	Number     uint64 `cbor:"3,keyasint"`
+	DataCentre string `cbor:"4,keyasint"`
+	// Routes maps the name of a route to the requests per second on it.
+	Routes map[string]float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // GetMembers asks a peer for its full membership view.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -22,8 +23,36 @@
 	Sent  int
 	// ReportedAt is when the limit was last logged.
 	ReportedAt time.Time
+	// Unsent is set while the peers have not been told of the current state.
+	Unsent bool
 	// observedAt is the latest time for which the state is known.
 	observedAt time.Time
+	bucket     bucket
+}
+
+const (
+	// usedFraction is the fraction of a limit that the instances use, because their parts add
+	// up to one only as fast as their announcements spread.
+	usedFraction = 0.9
+	// probeRate is the number of requests per second that all instances together send to a
+	// server that takes fewer, so that the end of its limit is noticed.
+	probeRate = 0.25
+)
+
+// Rate returns the number of requests per second that an instance with the given part of the
+// limit may send.
+func (l *Limit) Rate(part float64) float64 {
+	return part * max(usedFraction*l.PerSecond, probeRate)
+}
+
+// Wait returns how long it takes until this instance may send a request: zero if it may send one
+// now. part is this instance's part of the limit.
+func (l *Limit) Wait(now time.Time, part float64, r *rand.Rand) time.Duration {
+	if !l.Active {
+		return 0
+	}
+	l.bucket.refill(now, l.Rate(part), r)
+	return l.bucket.wait(l.Rate(part))
 }
 
 // HandleReply records what a reply says about the limit. named is the limit that the reply
@@ -43,6 +72,18 @@
 	}
 }
 
+// HandleReport records what a peer knew of the limit at a time. It reports whether the limit has
+// changed.
+func (l *Limit) HandleReport(now, observedAt time.Time, active bool, perSecond float64) (changed bool) {
+	if !observedAt.After(l.observedAt) {
+		return false
+	}
+	return l.set(now, observedAt, active, perSecond)
+}
+
+// ObservedAt returns the latest time for which the state is known.
+func (l *Limit) ObservedAt() time.Time { return l.observedAt }
+
 // set sets the state as of observedAt. It reports whether the state has changed.
 func (l *Limit) set(now, observedAt time.Time, active bool, perSecond float64) (changed bool) {
 	l.observedAt = observedAt
@@ -51,8 +92,9 @@
 	}
 	if active && !l.Active {
 		l.Since, l.Sent = now, 0
+		l.bucket.reset(now)
 	}
-	l.Active, l.PerSecond = active, perSecond
+	l.Active, l.PerSecond, l.Unsent = active, perSecond, true
 	return true
 }
 
@@ -60,5 +102,6 @@
 func (l *Limit) RecordSent() {
 	if l.Active {
 		l.Sent++
+		l.bucket.take()
 	}
 }
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -58,6 +58,7 @@
 		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
 		return
 	}
+	s.countArrival(now, q.Route)
 	q.AnswerBy = arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
 	s.createLegs(q)
 	reason := s.unsatisfiable(now, q)
@@ -95,6 +96,10 @@
 	}
 	servers, blocked := s.chooseServers(now, q)
 	if blocked != "" {
+		if s.keptByLimits(now, q) {
+			s.refuse(now, q, event.RefuseOverload, s.retryAfter(now, q, longRetryAfter), blocked+"; their servers are at their rate limits")
+			return
+		}
 		s.hold(now, q, blocked)
 		return
 	}
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -85,7 +85,7 @@
 		s.refuse(now, q, event.RefuseOutcomeUnknown, 0, "a backend server may have run the request, but no complete reply arrived")
 		return
 	}
-	s.refuse(now, q, event.RefuseOverload, shortRetryAfter, "no backend server had capacity; none ran the request")
+	s.refuse(now, q, event.RefuseOverload, s.retryAfter(now, q, shortRetryAfter), "no backend server had capacity; none ran the request")
 }
 
 // refuseInsufficient refuses a gathering request that can no longer reach the route's
--- a/core/relay/latency.go
+++ b/core/relay/latency.go
@@ -194,6 +194,11 @@
 			delete(s.serviceTimes, name)
 		}
 	}
+	for name := range s.arrivals {
+		if !current[name] {
+			delete(s.arrivals, name)
+		}
+	}
 	for name := range s.pickers {
 		if !current[name] {
 			delete(s.pickers, name)
--- a/core/relay/ratelimit.go
+++ b/core/relay/ratelimit.go
@@ -1,11 +1,16 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
 	"hyssoppitch/core/roster"
 )
 
@@ -26,10 +31,216 @@
 	}
 	before := a.Server.Limit
 	if a.Server.Limit.HandleReply(now, a.SentAt, e.Limit) {
+		s.limited[a.Server.ID] = a.Server
 		s.reportLimit(now, a.Server, before.Active, "named in a reply")
 	}
 }
 
+// limitWait returns how long it takes until the rate limit of a server allows an attempt of this
+// instance: zero if it allows one now.
+func (s *System) limitWait(now time.Time, b *roster.Server) time.Duration {
+	if !b.Limit.Active {
+		return 0
+	}
+	return b.Limit.Wait(now, s.limitPart(b), s.Rand)
+}
+
+// limitPart returns this instance's part of the rate limit of a server.
+func (s *System) limitPart(b *roster.Server) float64 {
+	return s.demand.Part(b.Group, b.DataCentre, s.Self.DataCentre, func(route string) float64 {
+		return s.routeWeight(route, b.Group)
+	})
+}
+
+// routeWeight returns the fraction of a route's requests that are sent to a group.
+func (s *System) routeWeight(route, group string) float64 {
+	at := slices.IndexFunc(s.table.Routes, func(r model.Route) bool { return r.Name == route })
+	if at < 0 {
+		return 0
+	}
+	r := &s.table.Routes[at]
+	if slices.Contains(r.Gather, group) {
+		return 1
+	}
+	var weight, total float64
+	for _, share := range r.Shares {
+		total += share.Weight
+		if share.Group == group {
+			weight += share.Weight
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return weight / total
+}
+
+// legLimitWait returns how long the rate limits of its servers keep a leg from being sent: zero
+// if some server is held back by something else, or by nothing.
+func (s *System) legLimitWait(now time.Time, q *Request, l *Leg) (wait time.Duration) {
+	for _, b := range s.Servers.Group(l.Group) {
+		if !s.eligible(q.Route, b) || now.Before(b.DownUntil) {
+			continue
+		}
+		w := s.limitWait(now, b)
+		if w == 0 {
+			return 0
+		}
+		if wait == 0 || w < wait {
+			wait = w
+		}
+	}
+	return wait
+}
+
+// maxLimitWait returns how long a request waits for the rate limits of servers at most.
+func maxLimitWait(q *Request) time.Duration {
+	return time.Duration(maxHoldFraction * float64(q.Route.Target))
+}
+
+// keptByLimits reports whether rate limits keep a request from being admitted for as long as it
+// may be held.
+func (s *System) keptByLimits(now time.Time, q *Request) bool {
+	held := now.Sub(q.ArrivedAt)
+	admissible := 0
+	for i := range q.Legs {
+		if held+s.legLimitWait(now, q, &q.Legs[i]) <= maxLimitWait(q) {
+			admissible++
+		}
+	}
+	return !sufficientCoverage(q.Route, admissible, len(q.Legs))
+}
+
+// maxLimitRetryAfter limits the Retry-After of a request that rate limits kept from being sent.
+const maxLimitRetryAfter = 2 * time.Second
+
+// retryAfter returns when the caller of a refused request is to come back: when the rate limits
+// allow its legs, if they keep some from being sent, and after the given time otherwise.
+func (s *System) retryAfter(now time.Time, q *Request, otherwise time.Duration) time.Duration {
+	for i := range q.Legs {
+		if l := &q.Legs[i]; l.State != LegAnswered && len(l.Sent) == 0 {
+			otherwise = max(otherwise, min(s.legLimitWait(now, q, l), maxLimitRetryAfter))
+		}
+	}
+	return otherwise
+}
+
+const (
+	// demandWindow is the time over which the demand is measured.
+	demandWindow = 4 * time.Second
+	// maxAnnouncedRoutes limits the routes of an announcement: those with the greatest demand.
+	maxAnnouncedRoutes = 16
+)
+
+// countArrival counts a request on a route.
+func (s *System) countArrival(now time.Time, r *model.Route) {
+	b := s.arrivals[r.Name]
+	if b == nil {
+		b = &budget{}
+		s.arrivals[r.Name] = b
+	}
+	b.advance(now, demandWindow)
+	b.buckets[b.head%budgetBuckets].first++
+}
+
+// ownDemand returns the demand of this instance.
+func (s *System) ownDemand(now time.Time) event.InstanceDemand {
+	type routeRate struct {
+		route string
+		rate  float64
+	}
+	var rates []routeRate
+	for route, b := range s.arrivals {
+		b.advance(now, demandWindow)
+		if first, _ := b.totals(); first > 0 {
+			rates = append(rates, routeRate{route, float64(first) / demandWindow.Seconds()})
+		}
+	}
+	slices.SortFunc(rates, func(a, b routeRate) int {
+		return cmp.Or(cmp.Compare(b.rate, a.rate), strings.Compare(a.route, b.route))
+	})
+	out := event.InstanceDemand{Instance: s.Self.ID, Incarnation: s.Self.Incarnation, DataCentre: s.Self.DataCentre, Routes: map[string]float64{}}
+	for _, r := range rates[:min(len(rates), maxAnnouncedRoutes)] {
+		out.Routes[r.route] = r.rate
+	}
+	return out
+}
+
+// SpreadRateLimits does the periodic work on rate limits. It returns what the peers are to be
+// told, or nil.
+func (s *System) SpreadRateLimits(now time.Time) *event.RateLimits {
+	s.demand.SetLive(now, s.live, s.instanceCount)
+	if len(s.limited) == 0 {
+		return nil
+	}
+	s.demand.Announce(now, s.ownDemand(now))
+	m := &event.RateLimits{Demands: s.demand.TakeUnsent()}
+	for _, b := range s.limitedServers() {
+		if b.Limit.Unsent {
+			m.Servers = append(m.Servers, newServerLimit(now, b))
+			b.Limit.Unsent = false
+		}
+		if !b.Limit.Active || !slices.Contains(s.Servers.Group(b.Group), b) {
+			delete(s.limited, b.ID)
+		}
+	}
+	if len(m.Servers)+len(m.Demands) == 0 {
+		return nil
+	}
+	return m
+}
+
+// AllRateLimits returns all that a new peer is to be told of rate limits, or nil.
+func (s *System) AllRateLimits(now time.Time) *event.RateLimits {
+	if len(s.limited) == 0 {
+		return nil
+	}
+	m := &event.RateLimits{Demands: s.demand.All()}
+	for _, b := range s.limitedServers() {
+		m.Servers = append(m.Servers, newServerLimit(now, b))
+	}
+	return m
+}
+
+// limitedServers returns the content of limited in order of ID.
+func (s *System) limitedServers() []*roster.Server {
+	out := slices.Collect(maps.Values(s.limited))
+	slices.SortFunc(out, func(a, b *roster.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// newServerLimit returns the state of a server's rate limit for peers.
+func newServerLimit(now time.Time, b *roster.Server) event.ServerLimit {
+	l := &b.Limit
+	return event.ServerLimit{
+		Server: b.ID, Group: b.Group, Life: b.Life, Active: l.Active, PerSecond: l.PerSecond,
+		AgeMicros: max(0, now.Sub(l.ObservedAt()).Microseconds()),
+	}
+}
+
+// HandleRateLimits applies a peer's report of rate limits.
+func (s *System) HandleRateLimits(now time.Time, from model.InstanceID, m *event.RateLimits) {
+	for _, d := range m.Demands {
+		s.demand.Apply(now, d)
+	}
+	for _, report := range m.Servers {
+		for _, b := range s.Servers.Group(report.Group) {
+			if b.ID != report.Server || b.Life != report.Life {
+				continue
+			}
+			wasActive := b.Limit.Active
+			observedAt := now.Add(-time.Duration(report.AgeMicros) * time.Microsecond)
+			if b.Limit.HandleReport(now, observedAt, report.Active, report.PerSecond) {
+				s.limited[b.ID] = b
+				s.reportLimit(now, b, wasActive, "reported by "+string(from))
+			}
+		}
+	}
+}
+
+// ForgetInstance removes the demand of an instance that has left.
+func (s *System) ForgetInstance(id model.InstanceID) { s.demand.Forget(id) }
+
 // limitReportInterval is the minimum time between two log lines on the rate limit of a server,
 // apart from its begin and its end.
 const limitReportInterval = time.Second
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -14,6 +14,7 @@
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
 	"hyssoppitch/core/poison"
+	"hyssoppitch/core/quota"
 	"hyssoppitch/core/roster"
 	"hyssoppitch/core/timer"
 )
@@ -71,6 +72,13 @@
 	coldLimiters map[model.ServerID]*coldLimiter
 	// checks holds the pending connection checks of servers that may have crashed.
 	checks map[model.ServerID]*check
+	// demand holds the demand of all instances, and arrivals counts the requests that this one
+	// received, by route name.
+	demand   *quota.Demand
+	arrivals map[string]*budget
+	// limited holds the servers with a rate limit, and those whose limit has ended since the
+	// last call of SpreadRateLimits.
+	limited map[model.ServerID]*roster.Server
 	// live lists the live instances; each cold server is assigned to one of them.
 	live []model.InstanceID
 }
@@ -87,6 +95,9 @@
 	s.pickers = map[string]*weightedPicker{}
 	s.coldLimiters = map[model.ServerID]*coldLimiter{}
 	s.checks = map[model.ServerID]*check{}
+	s.demand = quota.NewDemand(s.Self.ID)
+	s.arrivals = map[string]*budget{}
+	s.limited = map[model.ServerID]*roster.Server{}
 }
 
 // Table returns the active routing table.
