--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -42,10 +42,10 @@
 	listFailed bool
 	// checkAt is when the source is chosen again while there is no copy.
 	checkAt time.Time
-	// revision is the revision of the local copy; zero if there is none.
-	revision uint64
+	// position is the position of the local copy; zero if there is none.
+	position event.Position
 	// baseRevision is the revision of the last change: there are no changes between it
-	// and revision.
+	// and position.
 	baseRevision uint64
 	// asOf is a time at which the directory had the content of the local copy.
 	asOf time.Time
@@ -65,10 +65,10 @@
 	waiting map[model.InstanceID]bool
 }
 
-// DirectoryRevision returns the revision of the local copy of the directory, and a time
+// DirectoryPosition returns the position of the local copy of the directory, and a time
 // at which the directory had that content.
-func (e *Engine) DirectoryRevision() (revision uint64, asOf time.Time) {
-	return e.directory.revision, e.directory.asOf
+func (e *Engine) DirectoryPosition() (at event.Position, asOf time.Time) {
+	return e.directory.position, e.directory.asOf
 }
 
 // dataCentrePeers returns the other live instances of this data centre to which this
@@ -100,7 +100,7 @@
 	}
 	s.requestedAt = now
 	s.requests++
-	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Revision: s.revision}})
+	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Revision: s.position.Revision}})
 }
 
 // sendDirectory sends the full local copy to a peer whose copy has an older revision. If there
@@ -117,7 +117,7 @@
 		e.Send(to, event.Message{Directory: &event.DirectoryUpdate{}})
 		return
 	}
-	if e.directory.revision <= revision {
+	if e.directory.position.Revision <= revision {
 		return
 	}
 	changes := append(e.Roster.AllEntries(now), event.DirectoryChange{Key: "routing-table", Routing: e.Relay.Table()})
@@ -128,7 +128,7 @@
 func (e *Engine) newDirectoryUpdate(now time.Time, changes []event.DirectoryChange, full bool) *event.DirectoryUpdate {
 	s := &e.directory
 	update := &event.DirectoryUpdate{
-		BaseRevision: s.baseRevision, Revision: s.revision, Full: full, Changes: changes,
+		BaseRevision: s.baseRevision, Revision: s.position.Revision, Full: full, Changes: changes,
 		AgeMicros: max(0, now.Sub(s.asOf).Microseconds()),
 	}
 	if at := e.Roster.RecoveredAt(); !at.IsZero() {
@@ -169,7 +169,7 @@
 // batch applies to.
 func (s *directorySync) recordChange(v event.DirectoryRead) {
 	if len(v.Changes) > 0 || v.Full {
-		s.baseRevision = s.revision
+		s.baseRevision = s.position.Revision
 	}
 }
 
@@ -190,7 +190,13 @@
 		})
 	}
 	e.emitChanges(e.Roster.Apply(now, v))
-	s.revision = max(s.revision, v.Revision)
+	if v.Era != s.position.Era && s.position.Revision != 0 {
+		e.Emit(event.StateChanged{
+			Kind: "directory", Name: "directory", From: s.position.String(), To: v.Position.String(),
+			Cause: fmt.Sprintf("restored from an older copy, %d entries read", len(v.Changes)),
+		})
+	}
+	s.position = event.Position{Era: v.Era, Revision: max(s.position.Revision, v.Revision)}
 	if v.AsOf.After(s.asOf) {
 		s.asOf = v.AsOf
 	}
@@ -213,27 +219,27 @@
 		return
 	}
 	asOf := now.Add(-time.Duration(update.AgeMicros) * time.Microsecond)
-	newer := update.Revision > s.revision
+	newer := update.Revision > s.position.Revision
 	if now.Sub(asOf) < peerUpdateTimeout {
 		e.markDirectoryReachable(now, from, update)
 	}
-	if newer && !update.Full && update.BaseRevision > s.revision {
+	if newer && !update.Full && update.BaseRevision > s.position.Revision {
 		// This instance missed the changes in between.
 		if now.Sub(s.requestedAt) >= minDirectoryRequestInterval {
 			s.requestedAt = now
-			e.Send(from, event.Message{GetDirectory: &event.GetDirectory{Revision: s.revision}})
+			e.Send(from, event.Message{GetDirectory: &event.GetDirectory{Revision: s.position.Revision}})
 		}
 		return
 	}
 	first := !e.Roster.Loaded()
-	read := event.DirectoryRead{Changes: update.Changes, Full: update.Full, Revision: update.Revision, AsOf: asOf}
+	read := event.DirectoryRead{Changes: update.Changes, Full: update.Full, Position: event.Position{Revision: update.Revision}, AsOf: asOf}
 	if newer {
 		e.applyDirectory(now, read)
 	}
 	// An update of an older revision is not forwarded: it would not advance peerAsOf, and
 	// would circulate among the instances forever.
-	fresher := update.Revision >= s.revision && e.recordReader(update.Reader, asOf)
-	if update.Revision >= s.revision && asOf.After(s.peerAsOf) {
+	fresher := update.Revision >= s.position.Revision && e.recordReader(update.Reader, asOf)
+	if update.Revision >= s.position.Revision && asOf.After(s.peerAsOf) {
 		s.peerAsOf = asOf
 		if asOf.After(s.asOf) {
 			s.asOf = asOf
--- a/core/engine/directory_test.go
+++ b/core/engine/directory_test.go
@@ -68,7 +68,7 @@
 
 // fullRead returns the event of reading the full directory at revision 10.
 func (r *routedInstance) fullRead(changes ...event.DirectoryChange) event.DirectoryRead {
-	return event.DirectoryRead{Changes: changes, Full: true, Revision: 10, AsOf: r.now}
+	return event.DirectoryRead{Changes: changes, Full: true, Position: event.Position{Revision: 10}, AsOf: r.now}
 }
 
 // link adds a link to another instance of the same data centre.
@@ -110,7 +110,7 @@
 	for _, version := range []uint64{2, 1, 3} {
 		c := routingEntry(version)
 		c.Routing.Limits.BodyBytes = int64(100 * version)
-		r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{c}, Revision: 10 + version, AsOf: r.now})
+		r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{c}, Position: event.Position{Revision: 10 + version}, AsOf: r.now})
 	}
 	for _, c := range r.emitted {
 		if set, ok := c.(event.SetCallerLimits); ok {
@@ -197,7 +197,7 @@
 			} else {
 				r.tick(event.DirectoryUnreachable{Cause: "timeout"})
 				r.advance(2 * time.Second)
-				r.tick(event.DirectoryRead{Revision: 14, Changes: removal, AsOf: r.now})
+				r.tick(event.DirectoryRead{Position: event.Position{Revision: 14}, Changes: removal, AsOf: r.now})
 			}
 			r.advance(1500 * time.Millisecond)
 			if got, want := len(r.Roster.Group("g")), 2; got != want {
@@ -349,7 +349,7 @@
 	if r.Roster.Unreachable() {
 		t.Errorf("directory after a peer's update: got unreachable, want reachable")
 	}
-	if got, _ := r.DirectoryRevision(); got != 10 {
-		t.Errorf("revision: got %d, want 10, as changes were missed", got)
+	if at, _ := r.DirectoryPosition(); at.Revision != 10 {
+		t.Errorf("revision: got %d, want 10, as changes were missed", at.Revision)
 	}
 }
--- a/core/engine/invalid_test.go
+++ b/core/engine/invalid_test.go
@@ -61,8 +61,8 @@
 			r.advance(time.Second)
 			r.emitted = nil
 			r.tick(event.MessageReceived{From: "b", Message: test.message})
-			revision, _ := r.DirectoryRevision()
-			if got, want := revision, uint64(10); got != want {
+			at, _ := r.DirectoryPosition()
+			if got, want := at.Revision, uint64(10); got != want {
 				t.Errorf("revision of the directory: got %d, want %d", got, want)
 			}
 			if got, want := r.Roster.Len(), 1; got != want {
--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -127,7 +127,7 @@
 			})
 		default:
 			m.revision++
-			m.tick(n, event.DirectoryRead{Changes: m.directory, Full: true, Revision: m.revision, AsOf: m.now})
+			m.tick(n, event.DirectoryRead{Changes: m.directory, Full: true, Position: event.Position{Revision: m.revision}, AsOf: m.now})
 		}
 	})
 }
@@ -169,7 +169,7 @@
 	case m.storeDown || n.cutOff:
 		m.tick(n, event.DirectoryUnreachable{Cause: "down"})
 	default:
-		m.tick(n, event.DirectoryRead{Revision: m.revision, AsOf: m.now})
+		m.tick(n, event.DirectoryRead{Position: event.Position{Revision: m.revision}, AsOf: m.now})
 	}
 }
 
--- a/core/engine/ratelimit_test.go
+++ b/core/engine/ratelimit_test.go
@@ -280,7 +280,7 @@
 	}
 	f.revision++
 	for _, id := range f.ids {
-		f.tick(f.nodes[id], event.DirectoryRead{Changes: changes, Revision: f.revision, AsOf: f.now})
+		f.tick(f.nodes[id], event.DirectoryRead{Changes: changes, Position: event.Position{Revision: f.revision}, AsOf: f.now})
 	}
 	f.answered, f.refusals = 0, nil
 	f.load(180, 3*time.Second)
--- a/core/engine/reader.go
+++ b/core/engine/reader.go
@@ -40,7 +40,7 @@
 	switch active, cause := e.shouldReadDirectory(now); {
 	case active && !s.active:
 		s.active = true
-		e.Emit(event.FollowDirectory{Active: true, Revision: s.revision, MaxRetryDelay: e.maxRetryDelay()})
+		e.Emit(event.FollowDirectory{Active: true, Position: s.position, MaxRetryDelay: e.maxRetryDelay()})
 		e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "directory", Cause: cause})
 	case !active && s.active:
 		e.stopReadingDirectory(cause)
@@ -69,7 +69,7 @@
 // stopReadingDirectory leaves the reading of the directory to peers.
 func (e *Engine) stopReadingDirectory(cause string) {
 	e.directory.active = false
-	e.Emit(event.FollowDirectory{Active: false, Revision: e.directory.revision})
+	e.Emit(event.FollowDirectory{Active: false, Position: e.directory.position})
 	e.Emit(event.StateChanged{Kind: "directory-source", Name: string(e.Self.ID), To: "peers", Cause: cause})
 }
 
--- a/core/engine/start_test.go
+++ b/core/engine/start_test.go
@@ -170,7 +170,7 @@
 	if want := []event.FollowDirectory{{Active: true, Revision: 10, MaxRetryDelay: 800 * time.Millisecond}}; !slices.Equal(got, want) {
 		t.Fatalf("reading of the directory: got %v, want %v", got, want)
 	}
-	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "servers/s1"}}, Revision: 15, AsOf: r.now})
+	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "servers/s1"}}, Position: event.Position{Revision: 15}, AsOf: r.now})
 	r.link("c")
 	r.receiveUpdate("c", event.DirectoryUpdate{
 		Revision: 9, Full: true, AgeMicros: age,
--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"cmp"
+	"fmt"
 	"time"
 
 	"hyssoppitch/core/model"
@@ -199,22 +201,42 @@
 	Problem string
 }
 
+// Position identifies a state of the directory. The zero value stands for none.
+type Position struct {
+	// Era counts how often the directory was restored from an older copy; zero if it doesn't
+	// say. After that, the revisions since the copy are given out again.
+	Era uint64
+	// Revision increases with each change within an era.
+	Revision uint64
+}
+
+// Compare compares positions: by era, and within an era by revision.
+func (p Position) Compare(o Position) int {
+	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Revision, o.Revision))
+}
+
+// After reports whether p is later than o.
+func (p Position) After(o Position) bool { return p.Compare(o) > 0 }
+
+// String returns the form used in logs.
+func (p Position) String() string { return fmt.Sprintf("revision %d of era %d", p.Revision, p.Era) }
+
 // DirectoryRead reports changes of the directory.
 type DirectoryRead struct {
 	Changes []DirectoryChange
 	// Full is set when Changes is the full content of the directory.
 	Full bool
-	// Revision is the revision of the directory after the changes.
-	Revision uint64
+	// Position is the state of the directory after the changes.
+	Position
 	// AsOf is a time at which the directory had this content.
 	AsOf time.Time
 }
 
 // FollowDirectory starts or stops reading the directory on this instance. Reading
-// continues from Revision; zero reads the full directory.
+// continues from Position; the zero value reads the full directory.
 type FollowDirectory struct {
-	Active   bool
-	Revision uint64
+	Active bool
+	Position
 	// MaxRetryDelay limits the delay before a failed call is repeated.
 	MaxRetryDelay time.Duration
 }
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -20,16 +20,16 @@
 // after a revision.
 var ErrCompacted = errors.New("the changes after this revision are no longer available")
 
-// Source is a directory whose every change has a revision.
+// Source is a directory whose every change has a position.
 type Source interface {
-	// List returns all entries and a revision; Watch after that revision misses no later
-	// change.
-	List(ctx context.Context) (changes []event.DirectoryChange, revision uint64, err error)
+	// List returns all entries and a position; Watch after that position misses no later
+	// change of the same era.
+	List(ctx context.Context) (changes []event.DirectoryChange, at event.Position, err error)
 	// Calls returns how many requests were sent to the source: a List may need several.
 	Calls() uint64
-	// Watch returns the changes after a revision. It waits for one until the time wait is
-	// over.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []event.DirectoryChange, revision uint64, err error)
+	// Watch returns the changes after a revision of the current era. It waits for one until
+	// the time wait is over.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (changes []event.DirectoryChange, at event.Position, err error)
 }
 
 // Sink receives what was read as events.
@@ -75,9 +75,9 @@
 	// confirm is set when the next watch returns at once, so that peers that waited for an
 	// update get one.
 	confirm bool
-	// listed is set while Watch can continue from revision.
+	// listed is set while Watch can continue from position.
 	listed   bool
-	revision uint64
+	position event.Position
 	// maxRetryDelay limits the backoff; it comes with the commands.
 	maxRetryDelay time.Duration
 	// failures counts the consecutive failed calls.
@@ -170,7 +170,10 @@
 	}
 	r.maxRetryDelay = c.MaxRetryDelay
 	if c.Active && !active && c.Revision > 0 {
-		r.listed, r.confirm, r.revision = true, true, max(r.revision, c.Revision)
+		r.listed, r.confirm = true, true
+		if c.Position.After(r.position) {
+			r.position = c.Position
+		}
 	}
 	return c.Active
 }
@@ -198,12 +201,12 @@
 		r.setCancelList(cancel)
 		defer r.setCancelList(nil)
 		r.lists.Add(1)
-		changes, revision, err := r.source.List(ctx)
+		changes, at, err := r.source.List(ctx)
 		if err != nil {
 			return err
 		}
-		r.listed, r.revision = true, revision
-		r.sink.Post(event.DirectoryRead{Changes: changes, Full: true, Revision: revision, AsOf: now})
+		r.listed, r.position = true, at
+		r.sink.Post(event.DirectoryRead{Changes: changes, Full: true, Position: at, AsOf: now})
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
@@ -213,7 +216,7 @@
 		maxWait = confirmWait
 	}
 	r.watches.Add(1)
-	changes, revision, err := r.source.Watch(ctx, r.revision, maxWait)
+	changes, at, err := r.source.Watch(ctx, r.position.Revision, maxWait)
 	if errors.Is(err, ErrCompacted) {
 		r.compacted.Add(1)
 		r.listed = false
@@ -222,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	r.revision = max(r.revision, revision)
+	r.position = event.Position{Era: at.Era, Revision: max(r.position.Revision, at.Revision)}
 	r.confirm = false
 	asOf := now
 	if len(changes) == 0 {
@@ -230,6 +233,6 @@
 		// current as of then.
 		asOf = now.Add(min(maxWait, r.clock.Now().Sub(now)))
 	}
-	r.sink.Post(event.DirectoryRead{Changes: changes, Revision: r.revision, AsOf: asOf})
+	r.sink.Post(event.DirectoryRead{Changes: changes, Position: r.position, AsOf: asOf})
 	return nil
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -21,6 +21,7 @@
 type scriptedCall struct {
 	revision uint64
 	err      error
+	era      uint64
 }
 
 // scriptedSource answers calls from a script and records them. After the end of the
@@ -31,28 +32,28 @@
 	calls  []string
 }
 
-func (s *scriptedSource) next(ctx context.Context, name string) (uint64, error) {
+func (s *scriptedSource) next(ctx context.Context, name string) (event.Position, error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, name)
 	if len(s.script) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return event.Position{}, ctx.Err()
 	}
 	c := s.script[0]
 	s.script = s.script[1:]
 	s.mu.Unlock()
-	return c.revision, c.err
+	return event.Position{Era: c.era, Revision: c.revision}, c.err
 }
 
-func (s *scriptedSource) List(ctx context.Context) ([]event.DirectoryChange, uint64, error) {
-	revision, err := s.next(ctx, "list")
-	return nil, revision, err
+func (s *scriptedSource) List(ctx context.Context) ([]event.DirectoryChange, event.Position, error) {
+	at, err := s.next(ctx, "list")
+	return nil, at, err
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration) ([]event.DirectoryChange, uint64, error) {
-	revision, err := s.next(ctx, "watch after "+string(rune('0'+after)))
-	return nil, revision, err
+func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration) ([]event.DirectoryChange, event.Position, error) {
+	at, err := s.next(ctx, "watch after "+string(rune('0'+after)))
+	return nil, at, err
 }
 
 func (s *scriptedSource) Calls() uint64 { return uint64(len(s.callsMade())) }
@@ -141,7 +142,7 @@
 	awaitCalls(t, s, 1)
 	r.SetActive(event.FollowDirectory{Active: false})
 	time.Sleep(50 * time.Millisecond)
-	r.SetActive(event.FollowDirectory{Active: true, Revision: 7})
+	r.SetActive(event.FollowDirectory{Active: true, Position: event.Position{Revision: 7}})
 	got := awaitCalls(t, s, 2)
 	if want := []string{"list", "watch after 7"}; !slices.Equal(got, want) {
 		t.Errorf("calls: got %v, want %v", got, want)
@@ -165,7 +166,7 @@
 	if got := len(src.callsMade()); got != before {
 		t.Errorf("calls while inactive: got %d, want none", got-before)
 	}
-	r.SetActive(event.FollowDirectory{Active: true, Revision: 7})
+	r.SetActive(event.FollowDirectory{Active: true, Position: event.Position{Revision: 7}})
 	callsMade := awaitCalls(t, src, before+1)
 	if got, want := callsMade[before], "watch after 7"; got != want {
 		t.Errorf("first call once active again: got %q, want %q", got, want)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -191,6 +191,8 @@
 	// the directory.
 	Version  uint64 `json:"routing-version"`
 	Revision uint64 `json:"directory-revision"`
+	// Era counts how often the directory was restored from an older copy.
+	Era uint64 `json:"directory-era"`
 	// DirectoryAgeMicros is the time since the directory's content was last known to be
 	// current, in microseconds.
 	DirectoryAgeMicros int64 `json:"directory-age-us"`
@@ -209,9 +211,9 @@
 		now := n.clock.Now()
 		var out RoutedStatus
 		n.View(func(e *engine.Engine) {
-			revision, asOf := e.DirectoryRevision()
+			at, asOf := e.DirectoryPosition()
 			out = RoutedStatus{
-				Counters: e.Relay.Counters, Version: e.Relay.Table().Version, Revision: revision,
+				Counters: e.Relay.Counters, Version: e.Relay.Table().Version, Revision: at.Revision, Era: at.Era,
 				DirectoryAgeMicros: now.Sub(asOf).Microseconds(), DirectoryReachable: !e.Roster.Unreachable(),
 				Servers: e.Roster.Len(), InFlight: e.Relay.InFlight(),
 			}
