--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -25,6 +25,10 @@
 	// directory is the content of the directory in every revision.
 	directory []event.DirectoryChange
 	revision  uint64
+	// era counts the restorations of the directory. history holds the changes since then; the
+	// changes before that aren't kept.
+	era     uint64
+	history []event.DirectoryRead
 	// storeDown is set while the directory doesn't answer. lists counts the instances that
 	// began to read the full directory.
 	storeDown bool
@@ -47,6 +51,8 @@
 	dialSeeds   bool
 	// readsDirectory is set while the instance reads the directory itself.
 	readsDirectory bool
+	// position is where the instance's reader of the directory continues.
+	position event.Position
 	// cutOff is set while the instance can't reach the store, and isolated while it can't reach
 	// its peers.
 	cutOff    bool
@@ -95,7 +101,7 @@
 		ID: n.id, Incarnation: model.Incarnation(m.now.UnixNano()), Address: "10.0.0.1:8000", DataCentre: n.dataCentre,
 	}, slices.Contains(m.seeds, n.id))
 	n.links, n.linkTargets, n.dialSeeds, n.down = map[model.InstanceID]bool{}, nil, true, false
-	n.readsDirectory = false
+	n.readsDirectory, n.position = false, event.Position{}
 	m.tick(n)
 	starts := n.starts
 	m.queue.Set(m.now.Add(time.Second), func() { m.confirmDirectory(n, starts) })
@@ -108,6 +114,9 @@
 	if !c.Active {
 		return
 	}
+	if c.Position.After(n.position) {
+		n.position = c.Position
+	}
 	if c.Revision > 0 {
 		// The first call after a change of readers doesn't wait for a change.
 		m.queue.Set(m.now.Add(5*time.Millisecond), func() { m.readOnce(n) })
@@ -126,8 +135,7 @@
 				}
 			})
 		default:
-			m.revision++
-			m.tick(n, event.DirectoryRead{Changes: m.directory, Full: true, Position: event.Position{Revision: m.revision}, AsOf: m.now})
+			m.listDirectory(n)
 		}
 	})
 }
@@ -168,8 +176,50 @@
 	case !n.readsDirectory || !n.Roster.Loaded():
 	case m.storeDown || n.cutOff:
 		m.tick(n, event.DirectoryUnreachable{Cause: "down"})
+	case n.position.Era != m.era:
+		m.queue.Set(m.now.Add(listDuration), func() {
+			if n.readsDirectory && !m.storeDown && !n.cutOff {
+				m.listDirectory(n)
+			}
+		})
 	default:
-		m.tick(n, event.DirectoryRead{Position: event.Position{Revision: m.revision}, AsOf: m.now})
+		read := event.DirectoryRead{Position: event.Position{Era: m.era, Revision: m.revision}, AsOf: m.now}
+		for _, h := range m.history {
+			if h.Revision > n.position.Revision {
+				read.Changes = append(read.Changes, h.Changes...)
+			}
+		}
+		n.position = read.Position
+		m.tick(n, read)
+	}
+}
+
+// listDirectory gives an instance the full directory.
+func (m *mesh) listDirectory(n *meshNode) {
+	if m.era == 0 {
+		m.revision++
+	}
+	n.position = event.Position{Era: m.era, Revision: m.revision}
+	changes := slices.Clone(m.directory)
+	for _, h := range m.history {
+		changes = append(changes, h.Changes...)
+	}
+	m.tick(n, event.DirectoryRead{Changes: changes, Full: true, Position: n.position, AsOf: m.now})
+}
+
+// change changes entries of the directory.
+func (m *mesh) change(changes ...event.DirectoryChange) {
+	m.revision++
+	m.history = append(m.history, event.DirectoryRead{Changes: changes, Position: event.Position{Era: m.era, Revision: m.revision}})
+}
+
+// restore puts the directory back to an older revision, with the given content in place of the
+// current one unless that is nil.
+func (m *mesh) restore(revision uint64, directory []event.DirectoryChange) {
+	m.era++
+	m.revision, m.history = revision, nil
+	if directory != nil {
+		m.directory = directory
 	}
 }
 
--- a/core/engine/start_test.go
+++ b/core/engine/start_test.go
@@ -141,7 +141,7 @@
 	}
 	for _, id := range m.ids {
 		n := m.nodes[id]
-		if _, asOf := n.DirectoryRevision(); m.now.Sub(asOf) > 3*time.Second {
+		if _, asOf := n.DirectoryPosition(); m.now.Sub(asOf) > 3*time.Second {
 			t.Errorf("%s: directory is %v old, want at most 3s", id, m.now.Sub(asOf))
 		}
 	}
@@ -167,7 +167,7 @@
 			got = append(got, f)
 		}
 	}
-	if want := []event.FollowDirectory{{Active: true, Revision: 10, MaxRetryDelay: 800 * time.Millisecond}}; !slices.Equal(got, want) {
+	if want := []event.FollowDirectory{{Active: true, Position: event.Position{Revision: 10}, MaxRetryDelay: 800 * time.Millisecond}}; !slices.Equal(got, want) {
 		t.Fatalf("reading of the directory: got %v, want %v", got, want)
 	}
 	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "servers/s1"}}, Position: event.Position{Revision: 15}, AsOf: r.now})
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -232,8 +232,13 @@
 type GetDirectory struct {
 	// Revision is the revision of the sender's copy; zero if it has none.
 	Revision uint64 `cbor:"1,keyasint"`
+	// Era is the era of that revision.
+	Era uint64 `cbor:"2,keyasint,omitempty"`
 }
 
+// Position returns the position of the sender's copy.
+func (g *GetDirectory) Position() Position { return Position{Era: g.Era, Revision: g.Revision} }
+
 // DirectoryUpdate reports changes of the directory to instances that don't read it
 // themselves.
 type DirectoryUpdate struct {
@@ -253,4 +258,9 @@
 	// Reader is the instance that read this from the directory itself; empty in an update that
 	// answers a request.
 	Reader model.InstanceID `cbor:"7,keyasint,omitempty"`
+	// Era is the era of both revisions.
+	Era uint64 `cbor:"8,keyasint,omitempty"`
 }
+
+// Position returns the position of the directory after the changes.
+func (u *DirectoryUpdate) Position() Position { return Position{Era: u.Era, Revision: u.Revision} }
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -111,8 +111,11 @@
 type Registration struct {
 	// ID identifies the server. A restarted server may register with the same ID.
 	ID ServerID
-	// Life identifies one incarnation of the server with this ID; it is opaque.
-	Life       string
+	// Life identifies one incarnation of the server with this ID. That of a later one is
+	// usually greater; the server's clock may have been set back meanwhile.
+	Life string
+	// Sequence increases with each entry that an incarnation writes; zero if unknown.
+	Sequence   uint64
 	Address    string
 	DataCentre string
 	Group      string
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -83,7 +83,7 @@
 	// failures counts the consecutive failed calls.
 	failures int
 	// The fields of Counters.
-	lists, compacted, watches, failed atomic.Uint64
+	lists, compacted, restored, watches, failed atomic.Uint64
 }
 
 // Counters counts the calls of a Reader since it was created.
@@ -92,6 +92,8 @@
 	// source no longer had the changes after a revision.
 	Lists     uint64 `json:"lists"`
 	Compacted uint64 `json:"history-lost"`
+	// Restored counts the watches that were given up because the source had been restored.
+	Restored uint64 `json:"restored"`
 	// Watches counts the calls of Source.Watch, and Failures those calls of both that failed.
 	Watches  uint64 `json:"watches"`
 	Failures uint64 `json:"failures"`
@@ -102,7 +104,7 @@
 // Counters returns the counters. It is safe for concurrent use.
 func (r *Reader) Counters() Counters {
 	return Counters{
-		Lists: r.lists.Load(), Compacted: r.compacted.Load(), Watches: r.watches.Load(),
+		Lists: r.lists.Load(), Compacted: r.compacted.Load(), Restored: r.restored.Load(), Watches: r.watches.Load(),
 		Failures: r.failed.Load(), Calls: r.source.Calls(),
 	}
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -134,6 +134,81 @@
 	}
 }
 
+// TestReaderListsAgainInNewEra checks that the reader doesn't continue a watch from a revision of
+// an earlier era, and that it takes replies of an earlier era, or of none, for failures.
+//
+// The failure it guards against: revisions that the source gives out again after it was restored
+// from an older copy were taken for those that had been read before.
+func TestReaderListsAgainInNewEra(t *testing.T) {
+	tests := []struct {
+		name         string
+		script       []scriptedCall
+		want         []string
+		wantRestored uint64
+		wantFailures uint64
+	}{
+		{
+			"watch in a new era",
+			[]scriptedCall{{revision: 5, era: 1}, {revision: 7, era: 2}, {revision: 4, era: 2}},
+			[]string{"list", "watch after 5", "list", "watch after 4"},
+			1, 0,
+		},
+		{
+			"compacted in a new era",
+			[]scriptedCall{{revision: 5, era: 1}, {err: feed.ErrCompacted}, {revision: 4, era: 2}},
+			[]string{"list", "watch after 5", "list", "watch after 4"},
+			0, 0,
+		},
+		{
+			"watch of an earlier era",
+			[]scriptedCall{{revision: 5, era: 2}, {revision: 7, era: 1}},
+			[]string{"list", "watch after 5", "watch after 5"},
+			0, 1,
+		},
+		{
+			"watch without an era",
+			[]scriptedCall{{revision: 5, era: 2}, {revision: 7}},
+			[]string{"list", "watch after 5", "watch after 5"},
+			0, 1,
+		},
+		{
+			"list of an earlier era",
+			[]scriptedCall{{revision: 5, era: 2}, {err: feed.ErrCompacted}, {revision: 7, era: 1}},
+			[]string{"list", "watch after 5", "list", "list"},
+			0, 1,
+		},
+		{
+			"first era",
+			[]scriptedCall{{revision: 5}, {revision: 7, era: 1}, {revision: 7, era: 1}},
+			[]string{"list", "watch after 5", "list", "watch after 7"},
+			1, 0,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			r, src, out := start(t, test.script...)
+			if got := awaitCalls(t, src, len(test.want))[:len(test.want)]; !slices.Equal(got, test.want) {
+				t.Errorf("calls: got %v, want %v", got, test.want)
+			}
+			if got := r.Counters(); got.Restored != test.wantRestored || got.Failures != test.wantFailures {
+				t.Errorf("counters: got %+v, want %d restored and %d failures", got, test.wantRestored, test.wantFailures)
+			}
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			era := uint64(0)
+			for _, e := range out.seen {
+				if read, ok := e.(event.DirectoryRead); ok {
+					if read.Era < era || (read.Era > era && !read.Full) {
+						t.Errorf("posted %v after era %d, full %t; want no earlier era, and a new one in full", read.Position, era, read.Full)
+					}
+					era = read.Era
+				}
+			}
+		})
+	}
+}
+
 // TestDeactivationCancelsListing checks that a reader that is deactivated while it lists the
 // directory, because a peer has sent the full directory, cancels the call and doesn't
 // report the directory as unreachable.
