--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -100,12 +100,12 @@
 	}
 	s.requestedAt = now
 	s.requests++
-	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Revision: s.position.Revision}})
+	e.Send(peer, event.Message{GetDirectory: &event.GetDirectory{Era: s.position.Era, Revision: s.position.Revision}})
 }
 
-// sendDirectory sends the full local copy to a peer whose copy has an older revision. If there
+// sendDirectory sends the full local copy to a peer whose copy has an earlier position. If there
 // is no local copy yet, the peer is told so, and is notified later.
-func (e *Engine) sendDirectory(now time.Time, to model.InstanceID, revision uint64) {
+func (e *Engine) sendDirectory(now time.Time, to model.InstanceID, position event.Position) {
 	if e.Roster == nil {
 		return
 	}
@@ -117,7 +117,7 @@
 		e.Send(to, event.Message{Directory: &event.DirectoryUpdate{}})
 		return
 	}
-	if e.directory.position.Revision <= revision {
+	if !e.directory.position.After(position) {
 		return
 	}
 	changes := append(e.Roster.AllEntries(now), event.DirectoryChange{Key: "routing-table", Routing: e.Relay.Table()})
@@ -128,7 +128,7 @@
 func (e *Engine) newDirectoryUpdate(now time.Time, changes []event.DirectoryChange, full bool) *event.DirectoryUpdate {
 	s := &e.directory
 	update := &event.DirectoryUpdate{
-		BaseRevision: s.baseRevision, Revision: s.position.Revision, Full: full, Changes: changes,
+		Era: s.position.Era, BaseRevision: s.baseRevision, Revision: s.position.Revision, Full: full, Changes: changes,
 		AgeMicros: max(0, now.Sub(s.asOf).Microseconds()),
 	}
 	if at := e.Roster.RecoveredAt(); !at.IsZero() {
@@ -140,6 +140,10 @@
 // handleDirectoryRead applies what this instance read from the directory, and updates
 // its peers in the data centre.
 func (e *Engine) handleDirectoryRead(now time.Time, v event.DirectoryRead) {
+	if v.Era < e.directory.position.Era {
+		// A peer has read the directory since it was restored; the own reader will find out.
+		return
+	}
 	if e.Roster.Unreachable() {
 		e.Emit(event.StateChanged{Kind: "directory", Name: "directory", From: "unreachable", To: "reachable"})
 		e.Roster.MarkReachable(now)
@@ -190,13 +194,15 @@
 		})
 	}
 	e.emitChanges(e.Roster.Apply(now, v))
-	if v.Era != s.position.Era && s.position.Revision != 0 {
+	if v.Era > s.position.Era && s.position.Revision != 0 {
 		e.Emit(event.StateChanged{
 			Kind: "directory", Name: "directory", From: s.position.String(), To: v.Position.String(),
 			Cause: fmt.Sprintf("restored from an older copy, %d entries read", len(v.Changes)),
 		})
 	}
-	s.position = event.Position{Era: v.Era, Revision: max(s.position.Revision, v.Revision)}
+	if v.Position.After(s.position) {
+		s.position = v.Position
+	}
 	if v.AsOf.After(s.asOf) {
 		s.asOf = v.AsOf
 	}
@@ -207,7 +213,8 @@
 }
 
 // handleDirectoryUpdate applies a peer's update about the directory, and forwards it to
-// the data centre if it is new.
+// the data centre if it is new. A peer that still has the directory of an earlier era, before
+// it was restored from an older copy, knows nothing that still holds.
 func (e *Engine) handleDirectoryUpdate(now time.Time, from model.InstanceID, update *event.DirectoryUpdate) {
 	if e.Roster == nil {
 		return
@@ -218,28 +225,33 @@
 		s.requestedAt = time.Time{}
 		return
 	}
+	if update.Era < s.position.Era {
+		return
+	}
 	asOf := now.Add(-time.Duration(update.AgeMicros) * time.Microsecond)
-	newer := update.Revision > s.position.Revision
+	at := update.Position()
+	newer := at.After(s.position)
 	if now.Sub(asOf) < peerUpdateTimeout {
 		e.markDirectoryReachable(now, from, update)
 	}
-	if newer && !update.Full && update.BaseRevision > s.position.Revision {
+	if newer && !update.Full && (update.Era != s.position.Era || update.BaseRevision > s.position.Revision) {
 		// This instance missed the changes in between.
 		if now.Sub(s.requestedAt) >= minDirectoryRequestInterval {
 			s.requestedAt = now
-			e.Send(from, event.Message{GetDirectory: &event.GetDirectory{Revision: s.position.Revision}})
+			e.Send(from, event.Message{GetDirectory: &event.GetDirectory{Era: s.position.Era, Revision: s.position.Revision}})
 		}
 		return
 	}
 	first := !e.Roster.Loaded()
-	read := event.DirectoryRead{Changes: update.Changes, Full: update.Full, Position: event.Position{Revision: update.Revision}, AsOf: asOf}
+	read := event.DirectoryRead{Changes: update.Changes, Full: update.Full, Position: at, AsOf: asOf}
 	if newer {
 		e.applyDirectory(now, read)
 	}
-	// An update of an older revision is not forwarded: it would not advance peerAsOf, and
+	// An update of an earlier position is not forwarded: it would not advance peerAsOf, and
 	// would circulate among the instances forever.
-	fresher := update.Revision >= s.position.Revision && e.recordReader(update.Reader, asOf)
-	if update.Revision >= s.position.Revision && asOf.After(s.peerAsOf) {
+	current := at.Compare(s.position) >= 0
+	fresher := current && e.recordReader(update.Reader, asOf)
+	if current && asOf.After(s.peerAsOf) {
 		s.peerAsOf = asOf
 		if asOf.After(s.asOf) {
 			s.asOf = asOf
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -95,7 +95,7 @@
 			e.Queries.ServerChanged(b)
 		}
 	case m.GetDirectory != nil:
-		e.sendDirectory(now, from, m.GetDirectory.Revision)
+		e.sendDirectory(now, from, m.GetDirectory.Position())
 	case m.Directory != nil:
 		e.handleDirectoryUpdate(now, from, m.Directory)
 	case m.RateLimits != nil:
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed keeps up with a directory: it lists all entries, then watches for changes,
-// and lists again when the source no longer has the changes after a revision. It decides
-// when to call the source and when to retry. The source interprets the entries, and
+// and lists again when the source no longer has the changes after a revision, or was restored
+// from an older copy and counts its revisions in a new era. It decides when to call the source and when to retry. The source interprets the entries, and
 // packages of core decide what follows from them.
 package feed
 
@@ -204,6 +204,9 @@
 		defer r.setCancelList(nil)
 		r.lists.Add(1)
 		changes, at, err := r.source.List(ctx)
+		if err == nil {
+			err = r.checkEra(at)
+		}
 		if err != nil {
 			return err
 		}
@@ -224,10 +227,19 @@
 		r.listed = false
 		return nil
 	}
+	if err == nil {
+		err = r.checkEra(at)
+	}
 	if err != nil {
 		return err
 	}
-	r.position = event.Position{Era: at.Era, Revision: max(r.position.Revision, at.Revision)}
+	if at.Era > r.position.Era {
+		// The revisions that were read are not those of this era.
+		r.restored.Add(1)
+		r.listed = false
+		return nil
+	}
+	r.position.Revision = max(r.position.Revision, at.Revision)
 	r.confirm = false
 	asOf := now
 	if len(changes) == 0 {
@@ -238,3 +250,12 @@
 	r.sink.Post(event.DirectoryRead{Changes: changes, Position: r.position, AsOf: asOf})
 	return nil
 }
+
+// checkEra returns an error if a reply is of an earlier era than one before, or names none
+// although that one did: it is late, or from a copy that was replaced.
+func (r *Reader) checkEra(at event.Position) error {
+	if at.Era < r.position.Era {
+		return errors.Newf("the reply is of era %d, an earlier one was of era %d", at.Era, r.position.Era)
+	}
+	return nil
+}
