--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,6 +14,10 @@
 	"hyssoppitch/core/model"
 )
 
+// evacuationGrace is the time after the directory was restored from an older copy for which
+// evacuations that the copy lacks are kept: the operators write them again.
+const evacuationGrace = 5 * time.Second
+
 // reregisterGrace is the time after a directory outage for which missing entries are kept:
 // servers register again within about two seconds.
 const reregisterGrace = 2 * time.Second
@@ -41,7 +45,11 @@
 	// groups holds the servers of each group in order of ID.
 	groups map[string][]*Server
 	// evacuated maps a directory key to the data centre that its entry evacuates.
-	evacuated map[string]string
+	// unconfirmed holds those of the keys that are missing since the directory was restored.
+	evacuated   map[string]string
+	unconfirmed map[string]bool
+	// departed holds the servers that were removed lately, by directory key.
+	departed map[string]departure
 
 	// loaded is set once the full directory has been read.
 	loaded bool
@@ -49,11 +57,18 @@
 	unreachable bool
 	// recoveredAt is when the last directory outage ended.
 	recoveredAt time.Time
+	// era is the era of the directory, and restoredAt when it last rose: the directory was
+	// restored from an older copy.
+	era        uint64
+	restoredAt time.Time
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{servers: map[string]*Server{}, groups: map[string][]*Server{}, evacuated: map[string]string{}}
+	return &Table{
+		servers: map[string]*Server{}, groups: map[string][]*Server{}, evacuated: map[string]string{},
+		unconfirmed: map[string]bool{}, departed: map[string]departure{},
+	}
 }
 
 // Loaded reports whether the full directory has been read.
@@ -127,9 +142,17 @@
 
 // Apply applies changes of the directory and returns the resulting changes of state.
 func (t *Table) Apply(now time.Time, read event.DirectoryRead) (changes []event.StateChanged) {
+	restored := read.Era > t.era && t.loaded
+	t.era = max(t.era, read.Era)
+	if restored {
+		t.recoveredAt, t.restoredAt = now, now
+	}
 	present := map[string]bool{}
 	for _, c := range read.Changes {
 		present[c.Key] = true
+		if restored && t.outdated(now, c) {
+			continue
+		}
 		changes = append(changes, t.applyChange(now, c)...)
 	}
 	if !read.Full {
@@ -138,7 +161,7 @@
 	t.loaded = true
 	for _, key := range t.keys() {
 		if !present[key] {
-			changes = append(changes, t.handleMissing(now, key)...)
+			changes = append(changes, t.handleUnlisted(now, key)...)
 		}
 	}
 	return changes
@@ -163,6 +186,7 @@
 	case c.Server != nil:
 		return t.register(now, c.Key, *c.Server)
 	case c.Evacuated != "":
+		delete(t.unconfirmed, c.Key)
 		if t.evacuated[c.Key] == c.Evacuated {
 			return nil
 		}
@@ -210,6 +234,7 @@
 func (t *Table) handleMissing(now time.Time, key string) []event.StateChanged {
 	if d, ok := t.evacuated[key]; ok {
 		delete(t.evacuated, key)
+		delete(t.unconfirmed, key)
 		return []event.StateChanged{{Kind: "data-centre", Name: d, From: "out", To: "in", Cause: "evacuation ended by an operator"}}
 	}
 	s := t.servers[key]
@@ -223,21 +248,24 @@
 		}
 		return stateChange(s, from, "missing after a directory outage")
 	}
+	t.recordDeparture(now, s)
 	t.remove(key)
 	return []event.StateChanged{{Kind: "server", Name: string(s.ID), From: from, To: "unlisted", Cause: "entry removed"}}
 }
 
 // RemoveExpired removes the servers that have not registered again in time after a
-// directory outage.
+// directory outage, and the evacuations that were not written again after a restoration.
 func (t *Table) RemoveExpired(now time.Time) (changes []event.StateChanged) {
+	changes = t.endUnconfirmed(now)
 	if t.unreachable || t.recoveredAt.IsZero() || now.Before(t.recoveredAt.Add(reregisterGrace)) {
-		return nil
+		return changes
 	}
 	for _, key := range t.keys() {
 		s := t.servers[key]
 		if s == nil || s.MissingSince.IsZero() {
 			continue
 		}
+		t.recordDeparture(now, s)
 		t.remove(key)
 		changes = append(changes, event.StateChanged{Kind: "server", Name: string(s.ID), From: "lapsed", To: "unlisted", Cause: "did not register again"})
 	}
