--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -7,6 +7,7 @@
 package engine
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -62,6 +63,8 @@
 	// storeContactAt is when the last call to the store that got an answer began.
 	storeContactAt time.Time
 	storeDown      bool
+	// storeEra is the greatest era that the store has named.
+	storeEra uint64
 	// platformInstances is the platform's list as last read, or as first received from a
 	// peer if the store did not answer before; nil if neither has happened.
 	platformInstances []event.ListedInstance
@@ -224,12 +227,14 @@
 		e.handlePlatformList(v)
 	case event.StoreDone:
 		e.setStoreReachable(v.Result != event.StoreUnknown)
+		e.recordStoreEra(v.Era)
 		e.Claims.StoreDone(now, v)
 	case event.StoreReachability:
 		if v.Reachable && v.CalledAt.After(e.storeContactAt) {
 			e.storeContactAt = v.CalledAt
 		}
 		e.setStoreReachable(v.Reachable)
+		e.recordStoreEra(v.Era)
 	case event.PeerLinked:
 		e.handlePeerLinked(now, v.Peer)
 	case event.PeerLost:
@@ -348,6 +353,21 @@
 	e.storeDown = !reachable
 }
 
+// recordStoreEra records the era of a reply of the store, and reports when the store was restored
+// from an older copy.
+func (e *Engine) recordStoreEra(era uint64) {
+	if era <= e.storeEra {
+		return
+	}
+	if e.storeEra > 0 {
+		e.Emit(event.StateChanged{
+			Kind: "store", Name: "store", From: fmt.Sprintf("era %d", e.storeEra), To: fmt.Sprintf("era %d", era),
+			Cause: "restored from an older copy",
+		})
+	}
+	e.storeEra = era
+}
+
 // Config returns the active configuration.
 func (e *Engine) Config() model.Config { return *e.config.active }
 
--- a/core/engine/world_test.go
+++ b/core/engine/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -116,7 +117,7 @@
 		options: query.Options{Limits: limit.PolicyAdaptive, Hedging: true},
 		servers: map[model.ServerID]*fakeServer{}, runsByKey: map[string]int{}, startedQueries: map[string]bool{}, outSince: map[string]time.Time{},
 	}
-	w.store = &fakeStore{w: w, values: map[string]fakeValue{}}
+	w.store = &fakeStore{w: w, values: map[string]fakeValue{}, era: 1}
 	for i := range c.Services {
 		svc := &c.Services[i]
 		for _, g := range svc.Groups {
@@ -340,7 +341,7 @@
 			return
 		}
 		up := n.w.store.reachable(n)
-		n.enqueue(event.StoreReachability{Reachable: up, CalledAt: calledAt})
+		n.enqueue(event.StoreReachability{Reachable: up, CalledAt: calledAt, Era: n.w.store.era})
 		if !up {
 			return
 		}
@@ -576,11 +577,34 @@
 	// time until these take effect.
 	loseReplies int
 	effectDelay time.Duration
+	// era counts the restorations from an older copy; copies holds the older states by time.
+	era    uint64
+	copies []storeCopy
+}
+
+// storeCopy is the state of the fake store before a write.
+type storeCopy struct {
+	at       time.Time
+	revision int
+	values   map[string]fakeValue
+}
+
+// restore puts the store back to its state some time ago. The copies of that time and later are
+// dropped.
+func (s *fakeStore) restore(age time.Duration) {
+	s.era++
+	at := s.w.now.Add(-age)
+	i := slices.IndexFunc(s.copies, func(c storeCopy) bool { return !c.at.Before(at) })
+	if i >= 0 {
+		s.revision, s.values = s.copies[i].revision, s.copies[i].values
+		s.copies = s.copies[:i]
+	}
 }
 
 func (s *fakeStore) reachable(n *node) bool { return !s.down && !n.cutStore }
 
 func (s *fakeStore) set(key string, data []byte) int {
+	s.copies = append(s.copies, storeCopy{at: s.w.now, revision: s.revision, values: maps.Clone(s.values)})
 	s.revision++
 	s.values[key] = fakeValue{revision: s.revision, data: data}
 	return s.revision
@@ -597,6 +621,7 @@
 			return
 		}
 		result, replied := do()
+		era := s.era
 		if !replied {
 			return
 		}
@@ -604,6 +629,7 @@
 			if !done {
 				done = true
 				result.Op = op
+				result.Era = era
 				n.enqueue(result)
 			}
 		})
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -232,6 +232,9 @@
 	Revision int64
 	// Value is the value that was read; empty for a write.
 	Value []byte
+	// Era counts how often the store was restored from an older copy; zero if it counts none,
+	// or didn't answer.
+	Era uint64
 }
 
 // StoreReachability reports whether the store answered a call.
@@ -239,6 +242,9 @@
 	Reachable bool
 	// CalledAt is when the call began. The answer may lack later changes.
 	CalledAt time.Time
+	// Era counts how often the store was restored from an older copy; zero if it counts none,
+	// or didn't answer.
+	Era uint64
 }
 
 // PeerLinked reports a new link to a peer.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -43,7 +43,7 @@
 // Store is the part of the platform's key-value service that the commands use.
 type Store interface {
 	Get(ctx context.Context, key string) (store.Value, error)
-	Swap(ctx context.Context, key string, revision int64, data []byte) (int64, error)
+	Swap(ctx context.Context, key string, revision int64, data []byte) (store.Value, error)
 	Processes(ctx context.Context) (store.Processes, error)
 }
 
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -94,9 +94,9 @@
 // the root reaches the store, so that an injected fault affects that write.
 type rootOnlyStore struct{ *store.Client }
 
-func (r *rootOnlyStore) Swap(ctx context.Context, key string, revision int64, data []byte) (int64, error) {
+func (r *rootOnlyStore) Swap(ctx context.Context, key string, revision int64, data []byte) (store.Value, error) {
 	if key != conf.RootKey {
-		return 0, store.ErrConflict
+		return store.Value{}, store.ErrConflict
 	}
 	return r.Client.Swap(ctx, key, revision, data)
 }
@@ -120,7 +120,7 @@
 	s *kvmem.Server
 }
 
-func (r *storeDownAtRootWrite) Swap(ctx context.Context, key string, revision int64, data []byte) (int64, error) {
+func (r *storeDownAtRootWrite) Swap(ctx context.Context, key string, revision int64, data []byte) (store.Value, error) {
 	if key == conf.RootKey {
 		r.s.SetFaults(kvmem.Faults{Down: true})
 	}
--- a/io/node/commands.go
+++ b/io/node/commands.go
@@ -103,18 +103,18 @@
 	if err != nil {
 		return event.StoreDone{Op: c.Op, Result: event.StoreUnknown}
 	}
-	return event.StoreDone{Op: c.Op, Result: event.StoreOK, Revision: v.Revision, Value: v.Data}
+	return event.StoreDone{Op: c.Op, Result: event.StoreOK, Revision: v.Revision, Value: v.Data, Era: v.Era}
 }
 
 func (n *Node) storeSwap(c event.StoreSwap) event.StoreDone {
 	ctx, cancel := context.WithTimeout(n.ctx, storeCallTimeout)
 	defer cancel()
-	revision, err := n.store.Swap(ctx, c.Key, c.Revision, c.Value)
+	v, err := n.store.Swap(ctx, c.Key, c.Revision, c.Value)
 	switch {
 	case err == nil:
-		return event.StoreDone{Op: c.Op, Result: event.StoreOK, Revision: revision}
+		return event.StoreDone{Op: c.Op, Result: event.StoreOK, Revision: v.Revision, Era: v.Era}
 	case errors.Is(err, store.ErrConflict):
-		return event.StoreDone{Op: c.Op, Result: event.StoreConflict}
+		return event.StoreDone{Op: c.Op, Result: event.StoreConflict, Era: v.Era}
 	default:
 		return event.StoreDone{Op: c.Op, Result: event.StoreUnknown}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -54,7 +54,7 @@
 // implementation.
 type Store interface {
 	Get(ctx context.Context, key string) (store.Value, error)
-	Swap(ctx context.Context, key string, revision int64, data []byte) (int64, error)
+	Swap(ctx context.Context, key string, revision int64, data []byte) (store.Value, error)
 	Watch(ctx context.Context, key string, after int64, wait time.Duration) (store.Value, error)
 	Processes(ctx context.Context) (store.Processes, error)
 	Close()
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -38,7 +38,7 @@
 			wait.For(ctx, watchRetryDelay)
 			continue
 		}
-		n.Post(event.StoreReachability{Reachable: true, CalledAt: calledAt})
+		n.Post(event.StoreReachability{Reachable: true, CalledAt: calledAt, Era: v.Era})
 		first = false
 		if v.Revision == 0 || v.Revision == revision {
 			continue
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,9 @@
 	// HeaderRevision is a key's revision. In a write it is the revision that the key must
 	// have for the write to take effect.
 	HeaderRevision = "Store-Revision"
+	// HeaderEra counts how often the store was restored from an older copy. After that, it gives
+	// out the revisions since the copy again.
+	HeaderEra = "Store-Era"
 )
 
 // maxValueBytes is the maximum number of bytes that are read of a reply's body.
@@ -48,6 +52,8 @@
 	// Revision is zero for a key that doesn't exist.
 	Revision int64
 	Data     []byte
+	// Era is the era of the reply; zero if the store counts none.
+	Era uint64
 }
 
 // Processes is the platform's list of processes. It lags behind the actual state.
@@ -79,11 +85,10 @@
 }
 
 // Swap is a compare-and-swap: it writes a key if the key has the given revision, and
-// returns the new revision. Revision zero means that the key must not exist.
-func (c *Client) Swap(ctx context.Context, key string, revision int64, data []byte) (next int64, err error) {
+// returns the new revision, without the value. Revision zero means that the key must not exist.
+func (c *Client) Swap(ctx context.Context, key string, revision int64, data []byte) (next Value, err error) {
 	defer func() { err = errors.Wrapf(err, "store: swap %q at revision %d", key, revision) }()
-	v, err := c.call(ctx, http.MethodPut, PathKV+key, revision, data)
-	return v.Revision, err
+	return c.call(ctx, http.MethodPut, PathKV+key, revision, data)
 }
 
 // Watch waits until a key's revision is above after, or until the time wait is over. It
@@ -127,13 +132,17 @@
 	if len(body) > maxValueBytes {
 		return v, errors.Newf("the reply's body is longer than %d bytes", maxValueBytes)
 	}
+	v.Era, err = DecodeEra(reply.Header, HeaderEra)
+	if err != nil {
+		return Value{}, err
+	}
 	v.Revision, _ = strconv.ParseInt(reply.Header.Get(HeaderRevision), 10, 64)
 	switch reply.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
 		v.Data = body
 		return v, nil
 	case http.StatusNotFound:
-		return Value{}, nil
+		return Value{Era: v.Era}, nil
 	case http.StatusPreconditionFailed:
 		return v, ErrConflict
 	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge, http.StatusBadRequest:
@@ -142,3 +151,17 @@
 		return v, errors.Newf("HTTP status %d", reply.StatusCode)
 	}
 }
+
+// DecodeEra returns the era that a header of a reply holds, or zero if the reply lacks it.
+func DecodeEra(h http.Header, name string) (era uint64, err error) {
+	values := h.Values(name)
+	if len(values) == 0 {
+		return 0, nil
+	}
+	value := strings.Join(values, ", ")
+	era, err = strconv.ParseUint(value, 10, 64)
+	if err != nil || era == 0 {
+		return 0, errors.Newf("header %q is %.40q: want a whole number above zero", name, value)
+	}
+	return era, nil
+}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -37,12 +37,12 @@
 			if _, err := c.Swap(ctx, "a/b", 0, []byte("2")); !errors.Is(err, store.ErrConflict) {
 				t.Errorf("swap at zero: got %v, want %v", err, store.ErrConflict)
 			}
-			second, err := c.Swap(ctx, "a/b", first, []byte("3"))
-			if err != nil || second <= first {
-				t.Errorf("revisions: got %d after %d, %v, want a higher one", second, first, err)
+			second, err := c.Swap(ctx, "a/b", first.Revision, []byte("3"))
+			if err != nil || second.Revision <= first.Revision {
+				t.Errorf("revisions: got %d after %d, %v, want a higher one", second.Revision, first.Revision, err)
 			}
-			if v, err := c.Get(ctx, "a/b"); err != nil || string(v.Data) != "3" || v.Revision != second {
-				t.Errorf("got %+v %v, want 3 at %d", v, err, second)
+			if v, err := c.Get(ctx, "a/b"); err != nil || string(v.Data) != "3" || v.Revision != second.Revision {
+				t.Errorf("got %+v %v, want 3 at %d", v, err, second.Revision)
 			}
 		}},
 		{"a value over 1 MB is refused and not written", func(t *testing.T, s *kvmem.Server, c *store.Client) {
