--- a/core/claim/ledger.go
+++ b/core/claim/ledger.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -61,13 +62,20 @@
 	readAt  time.Time
 	claims  []*pendingClaim
 	updates []stateUpdate
-	// op is the store call in flight, or zero. opIsSwap is set if it is a write, of
-	// sentEntries.
+	// op is the store call in flight, or zero, and opEra the era in which it began. opIsSwap is
+	// set if it is a write, of sentEntries.
 	op          uint64
 	opIsSwap    bool
+	opEra       uint64
 	sentEntries []Entry
 	// retryAt is the earliest time of the next call after one without an answer.
 	retryAt time.Time
+	// lost holds the known claims that the store may have lost. They are written again from
+	// restoreAt on, and once more from recheckAt on; zero if not.
+	lost []Entry
+	// heard holds the recent claims of which peers have told this instance.
+	heard                []Entry
+	restoreAt, recheckAt time.Time
 }
 
 // Outbox receives the commands of a ledger.
@@ -90,6 +98,12 @@
 	ops       map[uint64]*partition
 	lastOp    uint64
 	decisions []Decision
+	// era is the era of the store, and grantsFrom the time before which no claim is granted
+	// because the store was restored from an older copy.
+	era        uint64
+	grantsFrom time.Time
+	// unshared holds the claims that the peers have not been told of.
+	unshared []Entry
 }
 
 // NewLedger returns a ledger without claims.
@@ -118,6 +132,7 @@
 	if answer != nil && len(answer.Result) <= maxResultBytes {
 		e.Answer = answer
 	}
+	l.unshared = append(l.unshared, e)
 	p := l.partition(e.Digest.Partition())
 	p.updates = append(p.updates, stateUpdate{entry: e, due: now.Add(maxBatchDelay)})
 	l.advance(now, p)
@@ -146,7 +161,7 @@
 	for _, p := range slices.Clone(l.active) {
 		l.expireClaims(now, p)
 		l.advance(now, p)
-		due = earlier(due, p.due())
+		due = earlier(due, p.due(l.grantsFrom))
 	}
 	l.active = slices.DeleteFunc(l.active, func(p *partition) bool { return p.idle() })
 	return due
@@ -154,21 +169,22 @@
 
 // idle reports whether the partition has no pending changes and no call in flight.
 func (p *partition) idle() bool {
-	return len(p.claims) == 0 && len(p.updates) == 0 && p.op == 0
+	return len(p.claims) == 0 && len(p.updates) == 0 && p.op == 0 && p.restoreAt.IsZero()
 }
 
 // due returns when the partition next needs a tick: at the first deadline of a claim
-// and, while no call is in flight, at the time of its next call.
-func (p *partition) due() (at time.Time) {
+// and, while no call is in flight, at the time of its next call. Claims are not granted before
+// grantsFrom.
+func (p *partition) due(grantsFrom time.Time) (at time.Time) {
 	for _, c := range p.claims {
 		at = earlier(at, c.deadline)
 	}
 	if p.op != 0 {
 		return at
 	}
-	var nextCall time.Time
+	nextCall := p.restoreAt
 	if len(p.claims) > 0 {
-		nextCall = p.retryAt
+		nextCall = earlier(nextCall, earlier(p.retryAt, grantsFrom))
 	}
 	for _, u := range p.updates {
 		nextCall = earlier(nextCall, u.due)
@@ -225,7 +241,7 @@
 
 // advance makes the partition's next store call, if one is due and none is in flight.
 func (l *Ledger) advance(now time.Time, p *partition) {
-	if p.op != 0 || now.Before(p.retryAt) || !p.hasDueWork(now) {
+	if p.op != 0 || now.Before(p.retryAt) || !l.hasDueWork(now, p) {
 		return
 	}
 	p.retryAt = time.Time{}
@@ -237,18 +253,25 @@
 	l.write(now, p)
 }
 
-// hasDueWork reports whether the partition has claims, or updates that are due.
-func (p *partition) hasDueWork(now time.Time) bool {
-	if len(p.claims) > 0 {
+// hasDueWork reports whether the partition has claims that may be granted, updates that are due,
+// or claims to be written again.
+func (l *Ledger) hasDueWork(now time.Time, p *partition) bool {
+	if (len(p.claims) > 0 && l.mayGrant(now)) || p.restoreDue(now) {
 		return true
 	}
 	return slices.ContainsFunc(p.updates, func(u stateUpdate) bool { return !now.Before(u.due) })
 }
 
+// mayGrant reports whether claims may be granted.
+func (l *Ledger) mayGrant(now time.Time) bool { return !now.Before(l.grantsFrom) }
+
+// partitionKeys returns the keys of the known partitions in order.
+func (l *Ledger) partitionKeys() []string { return slices.Sorted(maps.Keys(l.partitions)) }
+
 // registerOp assigns the next operation number to a store call of a partition.
 func (l *Ledger) registerOp(p *partition, opIsSwap bool) {
 	l.lastOp++
-	p.op, p.opIsSwap = l.lastOp, opIsSwap
+	p.op, p.opIsSwap, p.opEra = l.lastOp, opIsSwap, l.era
 	l.ops[p.op] = p
 }
 
@@ -259,7 +282,13 @@
 		return
 	}
 	next := l.merge(now, p)
-	if len(p.claims) == 0 && len(p.updates) == 0 {
+	if p.restoreDue(now) {
+		if slices.EqualFunc(next, p.entries, func(a, b Entry) bool { return a.sameClaim(b) && a.State == b.State }) {
+			p.endRestore()
+			l.advance(now, p)
+			return
+		}
+	} else if len(p.updates) == 0 && (len(p.claims) == 0 || !l.mayGrant(now)) {
 		return
 	}
 	value, err := encode(next)
@@ -267,8 +296,10 @@
 		l.refuseAsFull(p)
 		return
 	}
-	for _, c := range p.claims {
-		c.writeSent = true
+	if l.mayGrant(now) {
+		for _, c := range p.claims {
+			c.writeSent = true
+		}
 	}
 	p.sentEntries = next
 	l.registerOp(p, true)
@@ -315,6 +346,9 @@
 func (l *Ledger) merge(now time.Time, p *partition) []Entry {
 	oldest := now.Add(-Retention).Unix()
 	next := slices.DeleteFunc(slices.Clone(p.entries), func(e Entry) bool { return e.ClaimedAt < oldest })
+	for _, e := range p.lost {
+		next = mergeLost(next, e)
+	}
 	p.updates = slices.DeleteFunc(p.updates, func(u stateUpdate) bool {
 		i := slices.IndexFunc(next, func(e Entry) bool { return e.Digest == u.entry.Digest })
 		switch {
@@ -328,6 +362,9 @@
 		}
 		return false
 	})
+	if !l.mayGrant(now) {
+		return next
+	}
 	p.claims = slices.DeleteFunc(p.claims, func(c *pendingClaim) bool {
 		i := slices.IndexFunc(next, func(e Entry) bool { return e.Digest == c.entry.Digest })
 		switch {
@@ -354,13 +391,19 @@
 		return false
 	}
 	delete(l.ops, d.Op)
+	if d.Era > l.era {
+		l.SetEra(now, d.Era)
+	}
+	earlier := d.Era < l.era
 	p.op = 0
 	switch {
-	case d.Result == event.StoreUnknown:
+	case d.Result == event.StoreUnknown || earlier || (p.opIsSwap && p.opEra != l.era):
+		// A reply of an earlier era is from a copy that was replaced. A write that was based on
+		// one may have taken effect in this one.
 		p.loaded = false
 		p.retryAt = now.Add(retryDelay)
 	case p.opIsSwap && d.Result == event.StoreOK:
-		l.applyWrite(p, d.Revision)
+		l.applyWrite(now, p, d.Revision)
 	case p.opIsSwap:
 		p.loaded = false
 	default:
@@ -372,10 +415,10 @@
 }
 
 // applyWrite updates the known entries after a successful write.
-func (l *Ledger) applyWrite(p *partition, revision int64) {
+func (l *Ledger) applyWrite(now time.Time, p *partition, revision int64) {
 	p.revision = revision
 	p.entries = p.sentEntries
-	l.confirmStored(p)
+	l.confirmStored(now, p)
 }
 
 // applyRead updates the known entries from the value that was read.
@@ -388,18 +431,22 @@
 		return
 	}
 	p.loaded, p.revision, p.entries, p.readAt = true, d.Revision, entries, now
-	l.confirmStored(p)
+	l.confirmStored(now, p)
 }
 
 // confirmStored grants the claims that are recorded in the store and removes the
 // updates that are.
-func (l *Ledger) confirmStored(p *partition) {
+func (l *Ledger) confirmStored(now time.Time, p *partition) {
 	p.claims = slices.DeleteFunc(p.claims, func(c *pendingClaim) bool {
+		if !l.mayGrant(now) {
+			return false
+		}
 		e, ok := find(p.entries, c.entry.Digest)
 		if !ok || !e.sameClaim(c.entry) {
 			return false
 		}
 		l.decide(c, Granted, e)
+		l.unshared = append(l.unshared, e)
 		return true
 	})
 	p.updates = slices.DeleteFunc(p.updates, func(u stateUpdate) bool {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -176,6 +176,7 @@
 	}
 	claimsDue := e.Claims.Tick(now)
 	e.Queries.Run(now)
+	e.shareClaims()
 	due = earliest(e.maintenanceAt, claimsDue, e.Queries.NextDue(), e.checkDirectoryAtStart(now))
 	if e.Relay != nil {
 		e.Relay.RunTimers(now)
@@ -226,15 +227,14 @@
 	case event.PlatformListed:
 		e.handlePlatformList(v)
 	case event.StoreDone:
-		e.setStoreReachable(v.Result != event.StoreUnknown)
-		e.recordStoreEra(v.Era)
+		e.setStoreReachable(v.Result != event.StoreUnknown && e.recordStoreEra(now, v.Era))
 		e.Claims.StoreDone(now, v)
 	case event.StoreReachability:
-		if v.Reachable && v.CalledAt.After(e.storeContactAt) {
+		reachable := v.Reachable && e.recordStoreEra(now, v.Era)
+		if reachable && v.CalledAt.After(e.storeContactAt) {
 			e.storeContactAt = v.CalledAt
 		}
-		e.setStoreReachable(v.Reachable)
-		e.recordStoreEra(v.Era)
+		e.setStoreReachable(reachable)
 	case event.PeerLinked:
 		e.handlePeerLinked(now, v.Peer)
 	case event.PeerLost:
@@ -354,10 +354,20 @@
 }
 
 // recordStoreEra records the era of a reply of the store, and reports when the store was restored
-// from an older copy.
-func (e *Engine) recordStoreEra(era uint64) {
-	if era <= e.storeEra {
-		return
+// from an older copy. It returns false for a reply of an earlier era, or of none although the
+// store has named one: it is late, or from a copy that was replaced.
+func (e *Engine) recordStoreEra(now time.Time, era uint64) (current bool) {
+	if era < e.storeEra {
+		if !e.storeDown {
+			e.Emit(event.StateChanged{
+				Kind: "store", Name: "store", To: "ignored",
+				Cause: fmt.Sprintf("the reply is of era %d, an earlier one was of era %d", era, e.storeEra),
+			})
+		}
+		return false
+	}
+	if era == e.storeEra {
+		return true
 	}
 	if e.storeEra > 0 {
 		e.Emit(event.StateChanged{
@@ -366,6 +376,20 @@
 		})
 	}
 	e.storeEra = era
+	e.Claims.SetEra(now, era)
+	return true
+}
+
+// shareClaims tells the peers of the claims that this instance has made or resolved.
+func (e *Engine) shareClaims() {
+	data, err := e.Claims.TakeUnshared()
+	if err != nil {
+		e.Emit(event.StateChanged{Kind: "claims", Name: string(e.Self.ID), To: "not-shared", Cause: err.Error()})
+		return
+	}
+	if data != nil {
+		e.Broadcast(event.Message{Claims: &event.Claims{Entries: data}})
+	}
 }
 
 // Config returns the active configuration.
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -98,6 +98,10 @@
 		e.sendDirectory(now, from, m.GetDirectory.Position())
 	case m.Directory != nil:
 		e.handleDirectoryUpdate(now, from, m.Directory)
+	case m.Claims != nil:
+		if err := e.Claims.Learn(now, m.Claims.Entries); err != nil {
+			e.refuseMessage(from, err.Error())
+		}
 	case m.RateLimits != nil:
 		if e.Relay != nil {
 			e.Relay.HandleRateLimits(now, from, m.RateLimits)
--- a/core/engine/storerestore_test.go
+++ b/core/engine/storerestore_test.go
@@ -48,6 +48,18 @@
 			w.nodes[0].suspend(3 * time.Second)
 			w.store.restore(9 * time.Second)
 		}, 7 * time.Second},
+		{"the claimant stands still for long", func(w *simulation) {
+			w.nodes[0].suspend(30 * time.Second)
+			w.store.restore(9 * time.Second)
+		}, 10 * time.Second},
+		{"the claimant is cut off from the store for long", func(w *simulation) {
+			w.nodes[0].cutStore = true
+			w.store.restore(9 * time.Second)
+		}, 10 * time.Second},
+		{"the claimant is killed", func(w *simulation) {
+			w.nodes[0].kill()
+			w.store.restore(9 * time.Second)
+		}, 10 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -97,7 +109,7 @@
 		w := newSimulation(seed, testConfig(2), 4)
 		w.warmUp(t)
 		for i := range 40 {
-			w.nodes[i%4].call(order(fmt.Sprintf("order-%d", i%8)))
+			w.nodes[w.random.IntN(4)].call(order(fmt.Sprintf("order-%d", i%8)))
 			if i == 20 {
 				w.store.effectDelay, w.store.loseReplies = 700*time.Millisecond, 2
 			}
@@ -108,7 +120,7 @@
 		}
 		w.advance(10 * time.Second)
 		for i := range 8 {
-			w.nodes[i%4].call(order(fmt.Sprintf("order-%d", i)))
+			w.nodes[w.random.IntN(4)].call(order(fmt.Sprintf("order-%d", i)))
 		}
 		w.finish(t)
 		for key, runs := range w.runsByKey {
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -27,6 +27,14 @@
 	GetMembers *GetMembers `cbor:"16,keyasint,omitempty"`
 
 	RateLimits *RateLimits `cbor:"17,keyasint,omitempty"`
+
+	Claims *Claims `cbor:"18,keyasint,omitempty"`
+}
+
+// Claims tells a peer of claims that its sender has made, in case the store loses them.
+type Claims struct {
+	// Entries is in the form in which package claim stores claims.
+	Entries []byte `cbor:"1,keyasint"`
 }
 
 // RateLimits reports the rate limits of backend servers, and the demand by which the instances
--- a/internal/standin/kvmem/kvmem.go
+++ b/internal/standin/kvmem/kvmem.go
@@ -59,6 +59,8 @@
 	faults    Faults
 	processes store.Processes
 	counts    Counts
+	// era is named in all replies unless it is empty.
+	era string
 
 	listener net.Listener
 	http     *http.Server
@@ -133,6 +135,13 @@
 	s.set(key, data)
 }
 
+// SetEra sets the era that all replies name; empty for none.
+func (s *Server) SetEra(era string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
 // wakeWatchers wakes all watch calls. The caller holds s.mu.
 func (s *Server) wakeWatchers() {
 	close(s.changed)
@@ -151,6 +160,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.faults
+		if s.era != "" {
+			w.Header().Set(store.HeaderEra, s.era)
+		}
 		s.mu.Unlock()
 		time.Sleep(time.Duration(f.SlowMs) * time.Millisecond)
 		if f.Down {
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -92,6 +92,29 @@
 				t.Errorf("got %+v %v, want revision %d", v, err, revision)
 			}
 		}},
+		{"every reply names the era, or none does", func(t *testing.T, s *kvmem.Server, c *store.Client) {
+			ctx := context.Background()
+			for name, want := range map[string]uint64{"": 0, "1": 1, "12": 12} {
+				s.SetEra(name)
+				missing, errMissing := c.Get(ctx, "missing")
+				swapped, errSwap := c.Swap(ctx, "k"+name, 0, []byte("1"))
+				conflict, errConflict := c.Swap(ctx, "k"+name, 0, []byte("1"))
+				if errMissing != nil || errSwap != nil || !errors.Is(errConflict, store.ErrConflict) {
+					t.Errorf("era %q: got errors %v, %v, %v", name, errMissing, errSwap, errConflict)
+				}
+				if missing.Era != want || swapped.Era != want || conflict.Era != want {
+					t.Errorf("era %q: got %d, %d and %d, want %d", name, missing.Era, swapped.Era, conflict.Era, want)
+				}
+			}
+		}},
+		{"a reply with an invalid era is no answer", func(t *testing.T, s *kvmem.Server, c *store.Client) {
+			for _, era := range []string{"0", "-1", "x", "1.0", "99999999999999999999"} {
+				s.SetEra(era)
+				if v, err := c.Get(context.Background(), "k"); err == nil || !strings.Contains(err.Error(), store.HeaderEra) {
+					t.Errorf("era %q: got %+v, %v, want an error that names the header", era, v, err)
+				}
+			}
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
