--- a/core/conf/parts.go
+++ b/core/conf/parts.go
@@ -34,12 +34,20 @@
 	// Change identifies the command that wrote this root, so that after a lost reply
 	// the writer can tell whether this root is its own.
 	Change string `json:"change"`
+	// Era is the era of the store in which this root was accepted; zero if the store counts none.
+	Era uint64 `json:"era,omitempty"`
 	// DataCentres is sorted by name.
 	DataCentres []model.DataCentre `json:"data-centres"`
 	// Services is sorted by name.
 	Services []ServiceRef `json:"services"`
 }
 
+// Newer reports whether a root replaces another one: it has a higher version, or is another change
+// that was accepted under the same version after the store had lost that one.
+func (r Root) Newer(o Root) bool {
+	return r.Version > o.Version || (r.Version == o.Version && r.Change != o.Change && r.Era > o.Era)
+}
+
 // ServiceRef lists the parts of a service in the order of their keys.
 type ServiceRef struct {
 	Name  string   `json:"name"`
--- a/core/engine/config.go
+++ b/core/engine/config.go
@@ -1,9 +1,15 @@
 package engine
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
 	"hyssoppitch/core/conf"
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/route"
 )
 
 // configState holds the active configuration and collects the parts of a newer one.
@@ -19,13 +25,66 @@
 	from model.InstanceID
 	// parts holds the documents of root and pending, and is served to peers.
 	parts map[conf.Digest][]byte
+	// stored is the root that the store holds, at storedRevision, as last read at storedAt.
+	// Its Version is zero if the store holds none.
+	stored         conf.Root
+	storedRevision int64
+	storedAt       time.Time
+	// rewritingSince is when the parts of root were written to a store that had lost it; zero
+	// while it is not being written.
+	rewritingSince time.Time
+}
+
+// rewriteDelay is the time after which an instance writes the active configuration to a store that
+// has lost it; it is multiplied by the instance's position in the order of writers.
+const rewriteDelay = time.Second
+
+// recordStoredRoot records the root that the store holds.
+func (e *Engine) recordStoredRoot(now time.Time, v event.RootReceived) {
+	s := &e.config
+	s.stored, s.storedRevision, s.storedAt, s.rewritingSince = v.Root, v.Revision, now, time.Time{}
+}
+
+// rewriteStoredRoot writes the active configuration to the store if that holds an older one: it was
+// restored from an older copy. The parts are written one interval before the root.
+func (e *Engine) rewriteStoredRoot(now time.Time) {
+	s := &e.config
+	if s.storedAt.IsZero() || e.storeDown || !s.root.Newer(s.stored) {
+		return
+	}
+	live := e.Members.Live()
+	rank := slices.Index(route.RankedOwners("root", live, len(live)), e.Self.ID)
+	if now.Sub(s.storedAt) < time.Duration(rank)*rewriteDelay {
+		return
+	}
+	if s.rewritingSince.IsZero() {
+		s.rewritingSince = now
+		for _, d := range s.root.Digests() {
+			e.Emit(event.StoreSwap{Key: conf.PartPrefix + string(d), Value: s.parts[d]})
+		}
+		return
+	}
+	if now.Sub(s.rewritingSince) < maintenanceInterval {
+		return
+	}
+	s.rewritingSince = time.Time{}
+	data, err := json.Marshal(s.root)
+	if err != nil {
+		e.Emit(event.StateChanged{Kind: "configuration", Name: s.root.Change, To: "not-written", Cause: err.Error()})
+		return
+	}
+	e.Emit(event.StoreSwap{Key: conf.RootKey, Revision: s.storedRevision, Value: data})
+	e.Emit(event.StateChanged{
+		Kind: "configuration", Name: s.root.Change, To: "written-again",
+		Cause: fmt.Sprintf("the store holds version %d, %d is active", s.stored.Version, s.root.Version),
+	})
 }
 
-// receiveRoot starts to fetch the parts of a newer configuration. An older or equal
-// version is ignored whatever its source, so that a configuration never reverts.
+// receiveRoot starts to fetch the parts of a newer configuration. Any other one is ignored
+// whatever its source, so that a configuration never reverts.
 func (e *Engine) receiveRoot(r conf.Root, from model.InstanceID) {
 	s := &e.config
-	if r.Version <= s.active.Version || r.Version < s.pending.Version {
+	if !r.Newer(s.root) || s.pending.Newer(r) {
 		return
 	}
 	s.pending, s.from = r, from
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -243,6 +243,9 @@
 	case event.MessageReceived:
 		e.handleMessage(now, v.From, v.Message)
 	case event.RootReceived:
+		if v.Stored {
+			e.recordStoredRoot(now, v)
+		}
 		e.receiveRoot(v.Root, v.From)
 	case event.PartReceived:
 		e.receivePart(v)
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -31,6 +31,7 @@
 	if e.config.pending.Version != 0 {
 		e.fetchMissingParts()
 	}
+	e.rewriteStoredRoot(now)
 	if e.Roster != nil {
 		e.emitChanges(e.Roster.RemoveExpired(now))
 		e.chooseDirectorySource(now)
--- a/core/engine/storerestore_test.go
+++ b/core/engine/storerestore_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"hyssoppitch/core/conf"
 	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
 )
 
 // TestRequestRunsOnceAlthoughStoreLostItsClaim checks that a non-idempotent request that is sent
@@ -147,3 +149,72 @@
 		}
 	}
 }
+
+// TestAcceptedConfigurationReturnsToRestoredStore checks that the instances write the accepted
+// configuration to a store that has lost it, so that an instance that starts later, and an
+// operator's next change, are based on it.
+//
+// The failure it guards against: an accepted change was in force on the instances that ran when the
+// store lost it, and on no other one.
+func TestAcceptedConfigurationReturnsToRestoredStore(t *testing.T) {
+	t.Parallel()
+	for _, lost := range []string{"the last change", "all changes"} {
+		w := newSimulation(7, testConfig(2), 4)
+		w.warmUp(t)
+		w.advance(5 * time.Second)
+		w.setDataCentreState("dc1", model.DataCentreOut)
+		w.advance(2 * time.Second)
+		age := 3 * time.Second
+		if lost == "all changes" {
+			age = time.Hour
+		}
+		w.store.restore(age)
+		w.advance(propagationLimit)
+		root, err := conf.ParseRoot(w.store.values[conf.RootKey].data)
+		if err != nil || root.Version != 2 {
+			t.Errorf("%s lost: root in the store: got version %d, %v; want 2", lost, root.Version, err)
+			continue
+		}
+		for _, d := range root.Digests() {
+			if w.store.values[conf.PartPrefix+string(d)].revision == 0 {
+				t.Errorf("%s lost: part %s: got none in the store", lost, d)
+			}
+		}
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		w.addNode("late")
+		w.advance(propagationLimit)
+		if got, want := w.node("late").engine.Config().Version, uint64(2); got != want {
+			t.Errorf("%s lost: version of an instance that started later: got %d, want %d", lost, got, want)
+		}
+	}
+}
+
+// TestVersionAcceptedAgainIsInForce checks that a change which an operator made right after a
+// restoration, under the version and the revision that the store had lost, is in force everywhere,
+// also on an instance that can't reach the store.
+func TestVersionAcceptedAgainIsInForce(t *testing.T) {
+	t.Parallel()
+	for _, cut := range []bool{false, true} {
+		w := newSimulation(8, testConfig(2), 4)
+		w.warmUp(t)
+		w.advance(5 * time.Second)
+		before := w.config
+		w.setDataCentreState("dc1", model.DataCentreOut)
+		w.advance(2 * time.Second)
+		w.nodes[2].cutStore = cut
+		w.store.restore(3 * time.Second)
+		w.config = before
+		w.setDataCentreState("dc0", model.DataCentreOut)
+		w.advance(propagationLimit)
+		for _, n := range w.nodes {
+			c := n.engine.Config()
+			for _, d := range c.DataCentres {
+				if want := d.Name == "dc0"; (d.State == model.DataCentreOut) != want {
+					t.Errorf("cut %t: %s: data centre %s in version %d, change %q: got %v, want out %t", cut, n.id, d.Name, c.Version, c.Change, d.State, want)
+				}
+			}
+		}
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -267,6 +267,10 @@
 	Root conf.Root
 	// From is the peer that sent the root, or "" for the store or an operator.
 	From model.InstanceID
+	// Stored is set if the store holds this root, at Revision; a zero Root and Revision mean that
+	// it holds none.
+	Stored   bool
+	Revision int64
 }
 
 // PartReceived reports a document of the configuration.
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -51,8 +51,9 @@
 type Current struct {
 	Config model.Config
 	Root   conf.Root
-	// Revision is the revision of the root in the store; zero when there is none yet.
+	// Revision is the revision of the root in the store, in its Era; zero when there is none yet.
 	Revision int64
+	Era      uint64
 }
 
 // Read returns the accepted configuration. Its version is zero when no configuration has
@@ -60,6 +61,7 @@
 func Read(ctx context.Context, s Store) (c Current, err error) {
 	defer func() { err = errors.Wrap(err, "read configuration") }()
 	v, err := s.Get(ctx, conf.RootKey)
+	c.Era = v.Era
 	if err != nil || v.Revision == 0 {
 		return c, err
 	}
@@ -108,6 +110,7 @@
 	if err != nil {
 		return a, err
 	}
+	a.Root.Era = current.Era
 	if err := writeParts(ctx, s, a.Parts); err != nil {
 		return a, err
 	}
--- a/io/node/watch.go
+++ b/io/node/watch.go
@@ -24,32 +24,43 @@
 )
 
 // watchRoot watches the configuration root in the store. After a failed watch it
-// continues from the last revision received, so that no change is missed. A lower
-// revision means that the store lost writes. Its root is posted all the same: the engine
-// ignores a version older than the active one.
+// continues from the last revision received, so that no change is missed. When the store was
+// restored from an older copy, it reads the root again, as revisions are given out again then. A
+// root that the store holds is posted although it may be older than the active one: the engine
+// writes that one to the store again.
 func (n *Node) watchRoot(ctx context.Context) error {
-	var revision int64
+	var last store.Value
 	first := true
 	for ctx.Err() == nil {
 		calledAt := n.clock.Now()
-		v, err := n.nextRoot(ctx, revision, first)
+		v, err := n.nextRoot(ctx, last.Revision, first)
 		if err != nil {
 			n.Post(event.StoreReachability{Reachable: false})
 			wait.For(ctx, watchRetryDelay)
 			continue
 		}
 		n.Post(event.StoreReachability{Reachable: true, CalledAt: calledAt, Era: v.Era})
-		first = false
-		if v.Revision == 0 || v.Revision == revision {
+		switch {
+		case v.Era < last.Era:
+			// The reply is late, or from a copy that was replaced.
+			wait.For(ctx, watchRetryDelay)
 			continue
-		}
-		revision = v.Revision
-		root, err := conf.ParseRoot(v.Data)
-		if err != nil {
-			n.log.Error().Err(err).Msg("cannot parse the configuration root in the store")
+		case v.Era > last.Era && !first:
+			last.Era, first = v.Era, true
 			continue
+		case !first && (v.Revision == 0 || v.Revision == last.Revision):
+			continue
+		}
+		last, first = v, false
+		var root conf.Root
+		if v.Revision != 0 {
+			root, err = conf.ParseRoot(v.Data)
+			if err != nil {
+				n.log.Error().Err(err).Msg("cannot parse the configuration root in the store")
+				continue
+			}
 		}
-		n.Post(event.RootReceived{Root: root})
+		n.Post(event.RootReceived{Root: root, Stored: true, Revision: v.Revision})
 	}
 	return nil
 }
