--- a/core/claim/ledger.go
+++ b/core/claim/ledger.go
@@ -184,7 +184,11 @@
 	}
 	nextCall := p.restoreAt
 	if len(p.claims) > 0 {
-		nextCall = earlier(nextCall, earlier(p.retryAt, grantsFrom))
+		claimsAt := p.retryAt
+		if claimsAt.Before(grantsFrom) {
+			claimsAt = grantsFrom
+		}
+		nextCall = earlier(nextCall, claimsAt)
 	}
 	for _, u := range p.updates {
 		nextCall = earlier(nextCall, u.due)
@@ -323,8 +327,10 @@
 	return true
 }
 
-// refuseAsFull decides all pending claims of a partition as Full.
+// refuseAsFull decides all pending claims of a partition as Full. Claims that the store has lost
+// can't be written again either.
 func (l *Ledger) refuseAsFull(p *partition) {
+	p.lost, p.restoreAt, p.recheckAt = nil, time.Time{}, time.Time{}
 	for _, c := range p.claims {
 		l.decide(c, Full, c.entry)
 	}
--- a/core/engine/property_test.go
+++ b/core/engine/property_test.go
@@ -165,8 +165,8 @@
 }
 
 // runWithFaults runs a new simulation with load and random faults until it is idle, and
-// returns it.
-func runWithFaults(seed uint64, pick func(n int) int) *simulation {
+// returns it. With restores, the store is restored twice from an older copy as well.
+func runWithFaults(seed uint64, pick func(n int) int, restores bool) *simulation {
 	w := newSimulation(seed, testConfig(3), 3)
 	w.advance(3 * time.Second)
 	orders := 0
@@ -176,6 +176,11 @@
 			w.logFault("%s", f.name)
 			f.inject(w, pick)
 		}
+		if restores && step%200 == 120 {
+			age := time.Duration(pick(9000)) * time.Millisecond
+			w.logFault("store restored from a copy that is %s old", age)
+			w.store.restore(age)
+		}
 		n := w.nodes[pick(len(w.nodes))]
 		n.call(lookup())
 		if step%4 == 0 {
@@ -209,7 +214,24 @@
 			t.Parallel()
 			for i := shard; i < *simulationCount; i += shards {
 				seed := uint64(*firstSeed + i)
-				if s := runWithFaults(seed, newPicker(seed)); len(s.violations) > 0 {
+				if s := runWithFaults(seed, newPicker(seed), false); len(s.violations) > 0 {
+					t.Fatalf("seed %d:\n%s", seed, s.report())
+				}
+			}
+		})
+	}
+}
+
+// TestGuaranteesUnderFaultsAndRestores does the same while the store is restored from older
+// copies.
+func TestGuaranteesUnderFaultsAndRestores(t *testing.T) {
+	const shards = 8
+	for shard := range shards {
+		t.Run(fmt.Sprintf("shard-%d", shard), func(t *testing.T) {
+			t.Parallel()
+			for i := shard; i < *simulationCount/5; i += shards {
+				seed := uint64(*firstSeed + i)
+				if s := runWithFaults(seed, newPicker(seed), true); len(s.violations) > 0 {
 					t.Fatalf("seed %d:\n%s", seed, s.report())
 				}
 			}
@@ -222,7 +244,7 @@
 func TestGuaranteesUnderGeneratedFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(r, "pick") }
-		if w := runWithFaults(rapid.Uint64().Draw(r, "seed"), pick); len(w.violations) > 0 {
+		if w := runWithFaults(rapid.Uint64().Draw(r, "seed"), pick, false); len(w.violations) > 0 {
 			r.Fatal(w.report())
 		}
 	})
