--- a/core/claim/ledger.go
+++ b/core/claim/ledger.go
@@ -99,9 +99,11 @@
 	lastOp    uint64
 	decisions []Decision
 	// era is the era of the store, and grantsFrom the time before which no claim is granted
-	// because the store was restored from an older copy.
+	// because the store was restored from an older copy, or may have been: starting is set while
+	// only this instance's start is the reason.
 	era        uint64
 	grantsFrom time.Time
+	starting   bool
 	// unshared holds the claims that the peers have not been told of.
 	unshared []Entry
 }
--- a/core/claim/restore.go
+++ b/core/claim/restore.go
@@ -60,17 +60,27 @@
 	if era <= l.era {
 		return
 	}
-	restored := l.era > 0
+	l.starting = l.era == 0
 	l.era = era
-	if !restored {
+	l.grantsFrom = now.Add(grantDelay)
+	if l.starting {
+		// The store may have been restored just before this instance started.
 		return
 	}
-	l.grantsFrom = now.Add(grantDelay)
 	for _, key := range l.partitionKeys() {
 		l.restorePartition(now, l.partitions[key])
 	}
 }
 
+// ConfirmEra records that a peer has known the current era of the store for some time. An instance
+// that has just started need not wait then: the peers have had time to write lost claims again.
+func (l *Ledger) ConfirmEra(now time.Time, knownFor time.Duration) {
+	if l.starting && knownFor >= grantDelay {
+		l.starting = false
+		l.grantsFrom = now
+	}
+}
+
 // restorePartition schedules the recent claims of a partition to be written again.
 func (l *Ledger) restorePartition(now time.Time, p *partition) {
 	known := p.entries
--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -142,6 +142,10 @@
 func (e *Engine) handleDirectoryRead(now time.Time, v event.DirectoryRead) {
 	if v.Era < e.directory.position.Era {
 		// A peer has read the directory since it was restored; the own reader will find out.
+		e.Emit(event.StateChanged{
+			Kind: "directory", Name: "directory", To: "ignored",
+			Cause: fmt.Sprintf("read %v, the local copy is of %v", v.Position, e.directory.position),
+		})
 		return
 	}
 	if e.Roster.Unreachable() {
@@ -196,11 +200,11 @@
 	e.emitChanges(e.Roster.Apply(now, v))
 	if v.Era > s.position.Era && s.position.Revision != 0 {
 		e.Emit(event.StateChanged{
-			Kind: "directory", Name: "directory", From: s.position.String(), To: v.Position.String(),
+			Kind: "directory", Name: "directory", From: s.position.String(), To: v.String(),
 			Cause: fmt.Sprintf("restored from an older copy, %d entries read", len(v.Changes)),
 		})
 	}
-	if v.Position.After(s.position) {
+	if v.After(s.position) {
 		s.position = v.Position
 	}
 	if v.AsOf.After(s.asOf) {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -63,8 +63,10 @@
 	// storeContactAt is when the last call to the store that got an answer began.
 	storeContactAt time.Time
 	storeDown      bool
-	// storeEra is the greatest era that the store has named.
-	storeEra uint64
+	// storeEra is the greatest era that the store has named, and storeEraAt when that became
+	// known.
+	storeEra   uint64
+	storeEraAt time.Time
 	// platformInstances is the platform's list as last read, or as first received from a
 	// peer if the store did not answer before; nil if neither has happened.
 	platformInstances []event.ListedInstance
@@ -378,11 +380,29 @@
 			Cause: "restored from an older copy",
 		})
 	}
-	e.storeEra = era
+	e.storeEra, e.storeEraAt = era, now
 	e.Claims.SetEra(now, era)
 	return true
 }
 
+// knownStoreEra returns the era of the store for a message to a peer.
+func (e *Engine) knownStoreEra(now time.Time) (out event.StoreEra) {
+	if e.storeEra > 0 {
+		out = event.StoreEra{Era: e.storeEra, EraAgeMicros: max(0, now.Sub(e.storeEraAt).Microseconds())}
+	}
+	return out
+}
+
+// receiveStoreEra records the era of the store that a peer knows.
+func (e *Engine) receiveStoreEra(now time.Time, v event.StoreEra) {
+	if v.Era > e.storeEra {
+		e.recordStoreEra(now, v.Era)
+	}
+	if v.Era == e.storeEra && v.Era > 0 {
+		e.Claims.ConfirmEra(now, time.Duration(v.EraAgeMicros)*time.Microsecond)
+	}
+}
+
 // shareClaims tells the peers of the claims that this instance has made or resolved.
 func (e *Engine) shareClaims() {
 	data, err := e.Claims.TakeUnshared()
--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -21,6 +21,10 @@
 // value, or "". Such a message is ignored as a whole: a part of it could not be trusted either.
 func invalidField(m event.Message) (problem string) {
 	switch {
+	case m.Ping != nil:
+		return invalidEra(m.Ping.StoreEra)
+	case m.Pong != nil:
+		return invalidEra(m.Pong.StoreEra)
 	case m.Members != nil:
 		for _, u := range m.Members.Updates {
 			if problem := invalidMember(u); problem != "" {
@@ -39,6 +43,14 @@
 	return ""
 }
 
+// invalidEra returns the invalid field of a peer's era of the store, or "".
+func invalidEra(v event.StoreEra) (problem string) {
+	if v.EraAgeMicros < 0 || v.EraAgeMicros > maxAge.Microseconds() {
+		return fmt.Sprintf("era %d of the store: age %d us", v.Era, v.EraAgeMicros)
+	}
+	return ""
+}
+
 // invalidRateLimits returns the invalid field of a report of rate limits, or "".
 func invalidRateLimits(m *event.RateLimits) (problem string) {
 	for _, s := range m.Servers {
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -77,6 +77,7 @@
 	if e.maintenanceCount%uint64(member.PingInterval/maintenanceInterval) == 0 {
 		e.Broadcast(event.Message{Ping: &event.Ping{
 			SentAt: now.UnixNano(), ViewDigest: e.Members.Digest(), ConfigVersion: e.config.active.Version,
+			StoreEra: e.knownStoreEra(now),
 		}})
 	}
 	e.maintenanceCount++
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -62,6 +62,7 @@
 		e.handlePing(now, from, m.Ping)
 	case m.Pong != nil:
 		e.Members.RecordPong(from, time.Unix(0, m.Pong.SentAt))
+		e.receiveStoreEra(now, m.Pong.StoreEra)
 		e.comparePeerState(now, from, m.Pong.ViewDigest, m.Pong.ConfigVersion)
 	case m.Members != nil:
 		if e.platformInstances == nil && m.Members.Listed != nil {
@@ -128,7 +129,9 @@
 func (e *Engine) handlePing(now time.Time, from model.InstanceID, p *event.Ping) {
 	e.Send(from, event.Message{Pong: &event.Pong{
 		SentAt: p.SentAt, ViewDigest: e.Members.Digest(), ConfigVersion: e.config.active.Version,
+		StoreEra: e.knownStoreEra(now),
 	}})
+	e.receiveStoreEra(now, p.StoreEra)
 	e.comparePeerState(now, from, p.ViewDigest, p.ConfigVersion)
 }
 
--- a/core/engine/property_test.go
+++ b/core/engine/property_test.go
@@ -168,6 +168,9 @@
 // returns it. With restores, the store is restored twice from an older copy as well.
 func runWithFaults(seed uint64, pick func(n int) int, restores bool) *simulation {
 	w := newSimulation(seed, testConfig(3), 3)
+	if restores {
+		w.store.era = 1
+	}
 	w.advance(3 * time.Second)
 	orders := 0
 	for step := range 400 {
--- a/core/engine/storerestore_test.go
+++ b/core/engine/storerestore_test.go
@@ -67,7 +67,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			w := newSimulation(5, testConfig(2), 4)
+			w.store.era = 1
 			w.warmUp(t)
+			w.advance(5 * time.Second)
 			w.nodes[1].call(order("earlier"))
 			w.advance(5 * time.Second)
 			first := w.nodes[0].call(order(key))
@@ -109,7 +111,9 @@
 	t.Parallel()
 	for seed := uint64(1); seed <= 20; seed++ {
 		w := newSimulation(seed, testConfig(2), 4)
+		w.store.era = 1
 		w.warmUp(t)
+		w.advance(5 * time.Second)
 		for i := range 40 {
 			w.nodes[w.random.IntN(4)].call(order(fmt.Sprintf("order-%d", i%8)))
 			if i == 20 {
@@ -141,6 +145,7 @@
 		w := newSimulation(6, testConfig(2), 2)
 		w.store.era = 3
 		w.warmUp(t)
+		w.advance(6 * time.Second)
 		w.store.era = era
 		c := w.nodes[0].call(order("late"))
 		w.advance(2 * time.Second)
@@ -160,6 +165,7 @@
 	t.Parallel()
 	for _, lost := range []string{"the last change", "all changes"} {
 		w := newSimulation(7, testConfig(2), 4)
+		w.store.era = 1
 		w.warmUp(t)
 		w.advance(5 * time.Second)
 		w.setDataCentreState("dc1", model.DataCentreOut)
@@ -198,6 +204,7 @@
 	t.Parallel()
 	for _, cut := range []bool{false, true} {
 		w := newSimulation(8, testConfig(2), 4)
+		w.store.era = 1
 		w.warmUp(t)
 		w.advance(5 * time.Second)
 		before := w.config
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -84,6 +84,16 @@
 	ViewDigest uint64 `cbor:"2,keyasint"`
 	// ConfigVersion is the version of the sender's active configuration.
 	ConfigVersion uint64 `cbor:"3,keyasint"`
+	StoreEra
+}
+
+// StoreEra is the era of the store, which rises each time the store is restored from an older
+// copy, as the sender of a message knows it.
+type StoreEra struct {
+	// Era is zero if it is unknown.
+	Era uint64 `cbor:"10,keyasint,omitempty"`
+	// EraAgeMicros is for how many microseconds the sender has known it.
+	EraAgeMicros int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Pong answers a Ping.
@@ -92,6 +102,7 @@
 	SentAt        int64  `cbor:"1,keyasint"`
 	ViewDigest    uint64 `cbor:"2,keyasint"`
 	ConfigVersion uint64 `cbor:"3,keyasint"`
+	StoreEra
 }
 
 // MemberState is the state of an instance as another one records it.
--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,8 @@
 	entries map[model.InstanceID]*demandEntry
 	// seenAt holds when each instance was last live.
 	seenAt map[model.InstanceID]time.Time
+	// number counts this instance's announcements.
+	number uint64
 	// atLeast is the number of instances to assume if fewer are known.
 	atLeast int
 	// parts caches the results of Part until the next change or announcement.
@@ -83,9 +86,8 @@
 	if e != nil && now.Sub(e.receivedAt) < announceInterval && similar(e.Routes, own.Routes) {
 		return
 	}
-	if e != nil {
-		own.Number = e.Number + 1
-	}
+	d.number++
+	own.Number = d.number
 	d.entries[d.Self] = &demandEntry{InstanceDemand: own, receivedAt: now, unsent: true}
 	d.parts = nil
 }
@@ -137,20 +139,10 @@
 	for _, e := range d.entries {
 		out = append(out, e.InstanceDemand)
 	}
-	slices.SortFunc(out, func(a, b event.InstanceDemand) int { return cmpID(a.Instance, b.Instance) })
+	slices.SortFunc(out, func(a, b event.InstanceDemand) int { return cmp.Compare(a.Instance, b.Instance) })
 	return out
 }
 
-func cmpID(a, b model.InstanceID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Part returns this instance's part, in [0, 1], of the limits of the servers of a group in a
 // data centre. weight returns which fraction of a route's requests goes to the group, and
 // selfDataCentre is the data centre of this instance.
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -173,7 +173,7 @@
 	r.maxRetryDelay = c.MaxRetryDelay
 	if c.Active && !active && c.Revision > 0 {
 		r.listed, r.confirm = true, true
-		if c.Position.After(r.position) {
+		if c.After(r.position) {
 			r.position = c.Position
 		}
 	}
