--- a/core/engine/mesh_test.go
+++ b/core/engine/mesh_test.go
@@ -114,7 +114,7 @@
 	if !c.Active {
 		return
 	}
-	if c.Position.After(n.position) {
+	if c.After(n.position) {
 		n.position = c.Position
 	}
 	if c.Revision > 0 {
--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -202,19 +202,20 @@
 		s.failLeg(now, q, leg)
 		return
 	}
-	at := now.Add(roundInterval + time.Duration(s.Rand.Int64N(int64(roundInterval))))
+	delay := roundInterval + time.Duration(s.Rand.Int64N(int64(roundInterval)))
 	if wait := s.legLimitWait(now, q, l); wait > 0 {
-		at = latest(at, now.Add(wait))
+		delay = max(delay, wait)
 		since := q.ArrivedAt
 		if len(l.Sent) > 0 {
 			since = now
 		}
-		if at.Sub(since) > maxLimitWait(q) {
+		if now.Add(delay).Sub(since) > maxLimitWait(q) {
 			q.addStep(now, event.Step{Decision: "no-server", Group: l.Group, Cause: "the servers are at their rate limits"})
 			s.failLeg(now, q, leg)
 			return
 		}
 	}
+	at := now.Add(delay)
 	if l.WaitRounds > maxRounds || !at.Before(q.AnswerBy) || !s.servable(now, q, l) {
 		q.addStep(now, event.Step{Decision: "no-server", Group: l.Group, Cause: reason})
 		s.failLeg(now, q, leg)
@@ -223,14 +224,6 @@
 	s.timers.Set(at, timerEvent{kind: timerRetry, request: q.Query, leg: leg})
 }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // failLeg marks a leg as missing and ends the request if its outcome is now decided.
 func (s *System) failLeg(now time.Time, q *Request, leg int) {
 	l := &q.Legs[leg]
--- a/core/roster/restore.go
+++ b/core/roster/restore.go
@@ -17,6 +17,8 @@
 	departureTTL = 2 * time.Minute
 	// maxDepartures limits the removed servers that are remembered.
 	maxDepartures = 4096
+	// evacuationGrace is the time for which evacuations that the copy lacks are kept.
+	evacuationGrace = 5 * time.Second
 )
 
 // departure is a server that was removed.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,10 +14,6 @@
 	"hyssoppitch/core/model"
 )
 
-// evacuationGrace is the time after the directory was restored from an older copy for which
-// evacuations that the copy lacks are kept: the operators write them again.
-const evacuationGrace = 5 * time.Second
-
 // reregisterGrace is the time after a directory outage for which missing entries are kept:
 // servers register again within about two seconds.
 const reregisterGrace = 2 * time.Second
