--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -159,45 +160,45 @@
 	return part
 }
 
-// computePart computes the result of Part.
+// computePart computes the result of Part. It adds in a fixed order, so that the result is
+// reproducible.
 func (d *Demand) computePart(dataCentre, selfDataCentre string, weight func(route string) float64) float64 {
+	known := d.All()
 	weights := map[string]float64{}
-	demands := map[model.InstanceID]float64{}
+	demands := make([]float64, len(known))
 	var sum float64
-	for _, a := range d.All() {
-		var demand float64
-		for route, rate := range a.Routes {
-			w, ok := weights[route]
-			if !ok {
-				w = weight(route)
-				weights[route] = w
+	for i, a := range known {
+		for _, route := range slices.Sorted(maps.Keys(a.Routes)) {
+			if _, ok := weights[route]; !ok {
+				weights[route] = weight(route)
 			}
-			demand += w * rate
+			demands[i] += weights[route] * a.Routes[route]
 		}
-		demands[a.Instance] = demand
-		sum += demand
+		sum += demands[i]
 	}
 	instances := max(1, d.atLeast, d.count())
 	if sum == 0 {
 		return 1 / float64(instances)
 	}
-	mean := sum / float64(len(demands))
-	own, ok := demands[d.Self]
-	if !ok {
-		own = mean
-		demands[d.Self] = mean
-	}
+	mean := sum / float64(len(known))
 	minimum := minimumFraction * mean
-	var total float64
-	for id, demand := range demands {
-		at := selfDataCentre
-		if id != d.Self {
-			at = d.entries[id].DataCentre
+	var own, total float64
+	for i, a := range known {
+		share := (demands[i] + minimum) * distanceWeight(a.DataCentre, dataCentre)
+		total += share
+		if a.Instance == d.Self {
+			own = share
 		}
-		total += (demand + minimum) * distanceWeight(at, dataCentre)
 	}
-	total += float64(max(0, instances-len(demands))) * (mean + minimum)
-	return (own + minimum) * distanceWeight(selfDataCentre, dataCentre) / total
+	unknown := instances - len(known)
+	if own == 0 {
+		// This instance has announced nothing yet.
+		own = (mean + minimum) * distanceWeight(selfDataCentre, dataCentre)
+		total += own
+		unknown--
+	}
+	total += float64(max(0, unknown)) * (mean + minimum)
+	return own / total
 }
 
 // distanceWeight returns the weight of an instance's demand at a server.
