--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 [ -x target/hyssoppitch ] && [ -x target/review-world ] || { echo "not built: run the build line of deploy/system.toml and review/build.sh"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-world cold "$folder"
+exec target/review-world split "$folder"
