--- a/review/_world/lost.go
+++ b/review/_world/lost.go
@@ -18,8 +18,8 @@
 	// The first lostKept requests go to the end at their servers, whatever happens to their
 	// connections, and need lostKeptWork: they are finished just before the last sixth of the
 	// grace period. The others need from lostMinWork to lostMaxWork.
-	lostRequests = 25
-	lostKept     = 10
+	lostRequests = 40
+	lostKept     = 16
 	lostKeptWork = 3945 * time.Millisecond
 	lostMinWork  = 3500 * time.Millisecond
 	lostMaxWork  = 4700 * time.Millisecond
@@ -33,21 +33,32 @@
 	return lostMinWork + (lostMaxWork-lostMinWork)*time.Duration(number-lostKept)/(lostRequests-lostKept-1)
 }
 
-// playLost stops an instance with SIGTERM while it serves requests that take a few seconds.
+// lostStops is the number of machines that are stopped and started, one after the other.
+const lostStops = 3
+
+// lostRequest is one of the requests that are sent to an instance around its stop.
+type lostRequest struct {
+	answer
+	// stopped is when the instance got SIGTERM.
+	stopped time.Time
+}
+
+// playLost stops and starts instances in turn while they serve requests that take a few seconds.
 func playLost(w *world) (v verdict, err error) {
-	slow := func(r *http.Request) time.Duration {
-		var number int
-		if _, err := fmt.Sscanf(r.URL.Path, "/card/long/%d", &number); err == nil {
-			return lostWork(number)
-		}
-		return 120 * time.Millisecond
+	number := func(r *http.Request) (n int, long bool) {
+		_, err := fmt.Sscanf(r.URL.Path, "/card/long/%d", &n)
+		return n, err == nil
 	}
 	if err := w.addServers("post-register", 14, func(s *server) {
-		s.work = slow
+		s.work = func(r *http.Request) time.Duration {
+			if n, long := number(r); long {
+				return lostWork(n)
+			}
+			return 120 * time.Millisecond
+		}
 		s.keepsOn = func(r *http.Request) bool {
-			var number int
-			_, err := fmt.Sscanf(r.URL.Path, "/card/long/%d", &number)
-			return err == nil && number < lostKept
+			n, long := number(r)
+			return long && n < lostKept
 		}
 	}); err != nil {
 		return v, err
@@ -56,41 +67,71 @@
 	if err := w.startDeployment(); err != nil {
 		return v, err
 	}
-	time.Sleep(4 * time.Second)
-	target := w.nodes[0]
+	time.Sleep(boundStableWindow)
+	var requests []lostRequest
+	for _, n := range w.nodes[:lostStops] {
+		sent, err := w.stopWithRequests(n)
+		if err != nil {
+			return v, err
+		}
+		requests = append(requests, sent...)
+	}
+	return w.checkLost(requests), nil
+}
+
+// stopWithRequests opens connections to an instance, stops it, sends a request on each of the
+// connections, and starts it again once it has ended.
+func (w *world) stopWithRequests(n *node) (sent []lostRequest, err error) {
 	c := &client{}
-	// Open the connections before the stop, as clients that keep them do.
 	var group sync.WaitGroup
+	post := func(target string) answer {
+		return w.send(c, query{node: n, method: http.MethodPost, target: target, header: []string{"Content-Length: 0"}, timeout: 8 * time.Second})
+	}
 	for range lostRequests {
-		group.Go(func() {
-			w.send(c, query{node: target, method: http.MethodPost, target: "/card/short", header: []string{"Content-Length: 0"}, timeout: 8 * time.Second})
-		})
+		group.Go(func() { post("/card/short") })
 	}
 	group.Wait()
 	stopped := time.Now()
 	if w.trouble {
-		target.signal(syscall.SIGTERM)
+		n.signal(syscall.SIGTERM)
 	}
 	time.Sleep(time.Until(stopped.Add(lostSentAfter)))
-	answers := make([]answer, lostRequests)
-	for i := range answers {
-		group.Go(func() {
-			answers[i] = w.send(c, query{node: target, method: http.MethodPost, target: fmt.Sprintf("/card/long/%d", i), header: []string{"Content-Length: 0"}, timeout: 8 * time.Second})
-		})
+	sent = make([]lostRequest, lostRequests)
+	for i := range sent {
+		group.Go(func() { sent[i] = lostRequest{answer: post(fmt.Sprintf("/card/long/%d", i)), stopped: stopped} })
 	}
 	group.Wait()
 	time.Sleep(time.Until(stopped.Add(boundGrace + time.Second)))
+	if w.trouble {
+		if n.running() {
+			return nil, fmt.Errorf("instance %s has not ended", n.name)
+		}
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+		if err := w.awaitReady(n); err != nil {
+			return nil, err
+		}
+	}
+	// Planned work must not follow a start too closely: the next requests are sent when the
+	// machine has been running for the stable window.
+	time.Sleep(boundStableWindow)
+	return sent, nil
+}
+
+// checkLost checks the rule LOST for requests around a stop.
+func (w *world) checkLost(requests []lostRequest) (v verdict) {
 	runs := map[string]run{}
 	for _, r := range w.allRuns() {
 		runs[r.request] = r
 	}
 	lost, finished, late := 0, 0, 0
-	for _, a := range answers {
+	for _, a := range requests {
 		r, ran := runs[a.request]
 		if a.err == nil || !ran {
 			continue
 		}
-		if r.ended.IsZero() || r.ended.Sub(stopped) >= boundGrace*5/6 {
+		if r.ended.IsZero() || r.ended.Sub(a.stopped) >= boundGrace*5/6 {
 			late++
 			continue
 		}
@@ -100,12 +141,12 @@
 			finished++
 			how = "finished"
 		}
-		w.record.event("%s: begun by %s %s after the SIGTERM, %s by it after %s; its connection ended without an answer after %s",
-			a.request, r.server, since(stopped, r.began), how, since(stopped, r.ended), since(stopped, a.ended))
+		w.record.event("%s: begun by %s %s after the SIGTERM of %s, %s by it after %s; its connection ended without an answer after %s",
+			a.request, r.server, since(a.stopped, r.began), a.node, how, since(a.stopped, r.ended), since(a.stopped, a.ended))
 	}
 	v.broken = lost > 0
-	v.detail = fmt.Sprintf("LOST: %d of %d requests were passed on and cut without an answer, though no server was at work in the last sixth of the grace period; their servers had finished %d of them and dropped the others when the instance closed the connection; for %d more a server was at work in the last sixth", lost, lostRequests, finished, late)
-	return v, nil
+	v.detail = fmt.Sprintf("LOST: %d of %d requests were passed on and cut without an answer, though no server was at work in the last sixth of the grace period; their servers had finished %d of them and dropped the others when the instance closed the connection; for %d more a server was at work in the last sixth", lost, len(requests), finished, late)
+	return v
 }
 
 // since returns the time from one moment to another in milliseconds.
--- a/review/_world/world.go
+++ b/review/_world/world.go
@@ -75,6 +75,7 @@
 	dir     string
 	// host is the loopback address of the instances.
 	host    string
+	taken   map[string]bool
 	store   *store
 	servers []*server
 	nodes   []*node
@@ -179,15 +180,21 @@
 	exited                            chan struct{}
 }
 
-// freeAddress returns a loopback address with a port that is free now. Each run has a host of its
-// own, so that no other process takes the port before the instance opens it.
+// freeAddress returns a loopback address with a port that is free now, and that it hasn't returned
+// before. Each run has a host of its own, so that no other process takes the port before the
+// instance opens it.
 func (w *world) freeAddress() (string, error) {
-	l, err := net.Listen("tcp", w.host+":0")
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", w.host+":0")
+		if err != nil {
+			return "", err
+		}
+		_ = l.Close()
+		if address := l.Addr().String(); !w.taken[address] {
+			w.taken[address] = true
+			return address, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
 
 // newNode chooses the addresses of an instance.
@@ -385,7 +392,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	w := &world{record: r, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{record: r, trouble: os.Getenv("TROUBLE") != "0", taken: map[string]bool{}}
 	w.host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
 	if w.dir, err = os.MkdirTemp("", "hyssoppitch-review"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
