--- a/review/_world/store.go
+++ b/review/_world/store.go
@@ -126,7 +126,11 @@
 	}
 }
 
+// answerTime is the time that the store takes for an answer.
+const answerTime = 4 * time.Millisecond
+
 func reply(w http.ResponseWriter, body any) {
+	time.Sleep(answerTime)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
 }
