Stop: every request is answered before the process exits

Cause: the drain was at most 0.35 of the grace period and was cut to the setting besides, and what was open at its end got no answer. No deadline took the end of the process into account, so that requests were passed on at any moment of a stop.

Ruled out: requests forgotten by the wait (it asks the engine; drain-incomplete is logged).

Change: the drain takes the rest of the grace period less 0.4 s. The engine gets the time of the exit and limits all deadlines to it, in both interfaces. What can't be answered by then is refused at once as not run. Connections close when none has a request. The drain setting applies without a grace only.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -252,7 +252,7 @@
 	case event.PartReceived:
 		e.receivePart(v)
 	case event.ShutdownBegun:
-		e.leaving = true
+		e.beginShutdown(v.AnswerBy)
 	case event.RoutedArrived:
 		e.Relay.HandleRequest(now, v.Request)
 	case event.RoutedCallerDisconnected:
@@ -268,6 +268,18 @@
 	}
 }
 
+// beginShutdown makes readiness fail and limits the time for which requests are served.
+func (e *Engine) beginShutdown(answerBy time.Time) {
+	e.leaving = true
+	if answerBy.IsZero() {
+		return
+	}
+	e.Queries.StopBy(answerBy)
+	if e.Relay != nil {
+		e.Relay.StopBy(answerBy)
+	}
+}
+
 // admitQuery admits a request unless rejectReason gives a reason against it. An
 // instance that is leaving still serves what the load balancer sends to it.
 func (e *Engine) admitQuery(now time.Time, v event.QueryArrived) {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -280,7 +280,11 @@
 }
 
 // ShutdownBegun reports that this instance must shut down gracefully.
-type ShutdownBegun struct{}
+type ShutdownBegun struct {
+	// AnswerBy is the time by which every request must be answered, because the process ends
+	// then; the zero time means that there is no such time.
+	AnswerBy time.Time
+}
 
 func (QueryArrived) isEvent()       {}
 func (CallerDisconnected) isEvent() {}
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -80,7 +80,7 @@
 	q := &Query{
 		ID: id, Request: r, Class: class, ArrivedAt: now,
 		Fingerprint: model.FingerprintOf(r.Service, r.Body),
-		AnswerBy:    now.Add(timeout - answerMargin),
+		AnswerBy:    s.beforeStop(now.Add(timeout - answerMargin)),
 	}
 	q.usePlan(s.choosePlan(svc, r.Key))
 	if e := s.Suspects.Get(now, q.Fingerprint); e != nil && e.State == event.SuspicionCondemned {
--- a/core/query/system.go
+++ b/core/query/system.go
@@ -1,7 +1,9 @@
 package query
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hyssoppitch/core/claim"
@@ -54,6 +56,9 @@
 	// instances is the number of live instances.
 	instances int
 
+	// stopBy is when every query must be answered; zero unless the instance shuts down.
+	stopBy time.Time
+
 	queries  map[event.QueryID]*Query
 	attempts map[event.AttemptID]*Attempt
 	groups   map[limit.GroupKey]*groupState
@@ -123,6 +128,26 @@
 	s.markDirty(limit.GroupKey{Service: b.Service, Group: b.Group})
 }
 
+// StopBy limits the deadlines of all queries, now and later, to the time at which the instance
+// stops.
+func (s *System) StopBy(at time.Time) {
+	s.stopBy = at
+	for _, id := range slices.Sorted(maps.Keys(s.queries)) {
+		if q := s.queries[id]; !q.Answered && q.AnswerBy.After(at) {
+			q.AnswerBy = at
+			s.setTimer(timerEvent{at: at, kind: timerDeadline, query: id})
+		}
+	}
+}
+
+// beforeStop limits a deadline to the time at which the instance stops, if it shuts down.
+func (s *System) beforeStop(deadline time.Time) time.Time {
+	if !s.stopBy.IsZero() && s.stopBy.Before(deadline) {
+		return s.stopBy
+	}
+	return deadline
+}
+
 // InFlight returns the number of queries that wait for an answer, or whose
 // non-idempotent attempt has not ended.
 func (s *System) InFlight() int { return len(s.queries) }
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s.countArrival(now, q.Route)
-	q.AnswerBy = arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q))))
+	q.AnswerBy = s.beforeStop(arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q)))))
 	s.createLegs(q)
 	reason := s.unsatisfiable(now, q)
 	if reason != "" && s.awaitServers(now, arrivedAt, r) {
@@ -73,6 +73,10 @@
 		s.refuse(now, q, event.RefuseNoReplica, longRetryAfter, reason)
 		return
 	}
+	if s.stopsTooSoon(now, q) {
+		s.refuseStopping(now, q)
+		return
+	}
 	s.requests[r.Query] = q
 	s.timers.Set(q.AnswerBy, timerEvent{kind: timerDeadline, request: r.Query})
 	if q.gathers() && q.Route.Target > 0 {
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -69,6 +69,10 @@
 		return
 	}
 	s.noteUnansweredLegs(now, q, "unanswered")
+	if s.endedByStop(q) {
+		s.refuse(now, q, event.RefuseLeaving, stopRetryAfter, fmt.Sprintf("this instance stops, %d of %d groups have answered", q.AnsweredLegs, len(q.Legs)))
+		return
+	}
 	s.refuse(now, q, event.RefuseDeadline, 0, fmt.Sprintf("%d of %d groups answered in time", q.AnsweredLegs, len(q.Legs)))
 }
 
--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -173,6 +173,10 @@
 		return
 	}
 	if len(l.Sent) == 0 {
+		if !q.gathers() && s.stopsTooSoon(now, q) {
+			s.refuseStopping(now, q)
+			return
+		}
 		s.send(now, q, leg, b, firstAttempt)
 		return
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -79,6 +79,8 @@
 	// limited holds the servers with a rate limit, and those whose limit has ended since the
 	// last call of SpreadRateLimits.
 	limited map[model.ServerID]*roster.Server
+	// stopBy is when every request must be answered; zero unless the instance shuts down.
+	stopBy time.Time
 	// live lists the live instances; each cold server is assigned to one of them.
 	live []model.InstanceID
 }
--- a/core/relay/startup.go
+++ b/core/relay/startup.go
@@ -52,7 +52,7 @@
 	if r.CallerTimeout > 0 {
 		wait = min(wait, time.Duration(maxStartWaitFraction*float64(r.CallerTimeout)))
 	}
-	end := arrivedAt.Add(wait)
+	end := s.beforeStop(arrivedAt.Add(wait))
 	if !now.Before(end) || len(s.early) >= maxStartQueue {
 		return false
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,6 +88,11 @@
 	stopped   chan struct{}
 	lastQuery atomic.Uint64
 	leaving   atomic.Bool
+	// closing is set when all requests have been answered and the callers' connections are
+	// about to be closed: requests that still arrive are refused.
+	closing atomic.Bool
+	// callers tracks the connections of callers.
+	callers *connTracker
 	// shutdown holds the shutdown settings, which may be reloaded.
 	shutdown atomic.Pointer[setup.Shutdown]
 
@@ -190,7 +195,7 @@
 		},
 		inbox: make(chan event.Event, inboxSize), viewFuncs: make(chan func(*engine.Engine)),
 		stopped: make(chan struct{}), waiters: newWaiters[waiter](),
-		listener: d.Listener, control: d.Control, stats: stats.New(),
+		listener: d.Listener, control: d.Control, stats: stats.New(), callers: newConnTracker(),
 	}
 	n.shutdown.Store(&s.Shutdown)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -288,6 +293,9 @@
 
 // Execute implements front.Executor.
 func (n *Node) Execute(ctx context.Context, r event.Request) event.Command {
+	if n.closing.Load() {
+		return event.Refuse{Class: r.Class, Code: event.RefuseLeaving, Outcome: event.OutcomeNotRun, Detail: closingDetail, RetryAfter: closingRetryAfter}
+	}
 	id := event.QueryID(n.lastQuery.Add(1))
 	w := waiter{reply: make(chan event.Command, 1), service: r.Service, since: n.clock.Now()}
 	n.waiters.add(id, w)
--- a/io/node/routed.go
+++ b/io/node/routed.go
@@ -50,6 +50,9 @@
 // ExecuteRouted implements pass.Executor.
 func (r *routed) ExecuteRouted(ctx context.Context, request event.RoutedRequest, raw *pass.Request) event.Command {
 	n := r.node
+	if n.closing.Load() {
+		return event.RoutedRefusal{Code: event.RefuseLeaving, Outcome: event.OutcomeNotRun, Detail: closingDetail, RetryAfter: closingRetryAfter}
+	}
 	request.Query = event.QueryID(n.lastQuery.Add(1))
 	w := routedWaiter{reply: make(chan event.Command, 1), raw: raw}
 	r.pending.add(request.Query, w)
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,12 +27,15 @@
 	// leaveDelay is how long shutdown waits for the leave announcement to reach the
 	// peers.
 	leaveDelay = 100 * time.Millisecond
+	// flushTime is how long shutdown waits for the last answers to be written.
+	flushTime = 200 * time.Millisecond
 )
 
 // Run serves until the context is cancelled, and then leaves gracefully: readiness
-// fails, requests are still accepted for the lag that the settings give, the listener
+// fails, connections are still accepted for the lag that the settings give, the listener
 // closes, requests in flight are finished and recorded, and the leave is announced to
-// the peers.
+// the peers. Open connections may carry further requests until the last one is answered;
+// those that can't be expected to be answered in time are refused as not run.
 func (n *Node) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "instance %q", n.self.ID) }()
 	n.log.Info().Str("instance", string(n.self.ID)).Uint64("incarnation", uint64(n.self.Incarnation)).
@@ -42,6 +46,7 @@
 	}()
 	callers := &http.Server{
 		Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: pass.ConnContext,
+		ConnState: n.callers.setState,
 	}
 	control := &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.peers.SetPeers(n.ctx, n.settings.Seeds)
@@ -63,7 +68,7 @@
 		addServer(&group, metrics, func() error { return metrics.Serve(n.metrics) })
 	}
 	addServer(&group, control, func() error { return control.Serve(n.control) })
-	addServer(&group, callers, func() error { return callers.Serve(n.listener) })
+	addServer(&group, callers, func() error { return n.serveCallers(callers) })
 	leaveCtx, cancel := context.WithCancel(ctx)
 	group.Add(func() error {
 		<-leaveCtx.Done()
@@ -106,19 +111,37 @@
 	})
 }
 
+// serveCallers serves the callers' listener. leave closes it before the server ends.
+func (n *Node) serveCallers(callers *http.Server) error {
+	err := callers.Serve(n.listener)
+	if n.leaving.Load() && errors.Is(err, net.ErrClosed) {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
 // leave performs the steps of a graceful shutdown before the process ends.
 func (n *Node) leave(callers *http.Server) {
 	n.leaving.Store(true)
-	n.Post(event.ShutdownBegun{})
 	lag, drain := n.shutdown.Load().Durations()
+	answerBy := n.clock.Now().Add(lag + drain)
+	n.Post(event.ShutdownBegun{AnswerBy: answerBy})
 	n.log.Info().Str("instance", string(n.self.ID)).Dur("lag", lag).Dur("drain", drain).Msg("instance-leaving")
 	time.Sleep(lag)
-	ctx, cancel := context.WithTimeout(context.Background(), drain)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Warn().Str("instance", string(n.self.ID)).Err(err).Msg("drain-incomplete")
+	if err := n.listener.Close(); err != nil {
+		n.log.Warn().Str("instance", string(n.self.ID)).Err(err).Msg("listener-not-closed")
+	}
+	n.awaitIdle(answerBy.Sub(n.clock.Now()))
+	// A request that arrives from now on is refused, so that none is in flight when the
+	// connections are closed. One that arrived just before is still answered.
+	n.closing.Store(true)
+	n.awaitIdle(answerBy.Sub(n.clock.Now()))
+	if open := n.awaitWritten(flushTime); open > 0 {
+		n.log.Warn().Str("instance", string(n.self.ID)).Int("connections", open).Msg("drain-incomplete")
+	}
+	if err := callers.Close(); err != nil {
+		n.log.Warn().Str("instance", string(n.self.ID)).Err(err).Msg("connections-not-closed")
 	}
-	n.awaitIdle(ctx)
 	now := n.clock.Now()
 	n.View(func(e *engine.Engine) {
 		for _, c := range e.Leave(now) {
@@ -128,15 +151,31 @@
 	time.Sleep(leaveDelay)
 }
 
-// awaitIdle waits until no request is in flight and no record is pending, or the
-// context ends.
-func (n *Node) awaitIdle(ctx context.Context) {
-	for ctx.Err() == nil {
+// awaitIdle waits until no request is in flight or being read or answered, and no record is
+// pending, but not longer than the given time.
+func (n *Node) awaitIdle(limit time.Duration) {
+	n.await(limit, func() bool {
 		inFlight := 0
 		n.View(func(e *engine.Engine) { inFlight = e.InFlight() })
-		if inFlight == 0 {
-			return
-		}
+		return inFlight == 0 && n.callers.activeCount() == 0
+	})
+}
+
+// awaitWritten waits until all answers are written, but not longer than the given time. It
+// returns the number of connections on which a request is unanswered.
+func (n *Node) awaitWritten(limit time.Duration) (open int) {
+	n.await(limit, func() bool {
+		open = n.callers.activeCount()
+		return open == 0
+	})
+	return open
+}
+
+// await waits until done returns true, but not longer than the given time.
+func (n *Node) await(limit time.Duration, done func() bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for !done() && ctx.Err() == nil {
 		wait.For(ctx, idlePollInterval)
 	}
 }
--- a/io/node/waiters.go
+++ b/io/node/waiters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hyssoppitch/core/event"
 )
@@ -51,6 +52,14 @@
 	}
 }
 
+// closingDetail is the refusal's text for a caller whose request arrived when the instance had
+// answered all others and was about to exit, and closingRetryAfter its Retry-After: another
+// instance can serve it at once.
+const (
+	closingDetail     = "this instance stops"
+	closingRetryAfter = 10 * time.Millisecond
+)
+
 // stoppedDetail is the refusal's text for a caller whose request was not finished when
 // the engine stopped.
 const stoppedDetail = "this instance stopped before the outcome was known"
--- a/io/setup/setup.go
+++ b/io/setup/setup.go
@@ -56,9 +56,9 @@
 
 // Shutdown are the settings for a graceful shutdown.
 type Shutdown struct {
-	Grace model.Duration `json:"grace,omitempty" help:"time after which the process is killed; lag and drain are shortened to fit" want:"\"0s\" to \"5m0s\"; \"0s\": not bounded"`
+	Grace model.Duration `json:"grace,omitempty" help:"time after which the process is killed; lag is shortened to fit, and drain takes what is left" want:"\"0s\" to \"5m0s\"; \"0s\": not bounded"`
 	Lag   model.Duration `json:"lag" help:"how long requests are still taken after readiness failed; longer than the balancer takes to notice" want:"\"0s\" to \"5m0s\""`
-	Drain model.Duration `json:"drain" help:"how long in-flight requests and records are waited for after that" want:"\"0s\" to \"5m0s\""`
+	Drain model.Duration `json:"drain" help:"how long in-flight requests and records are waited for after that, if grace is not bounded" want:"\"0s\" to \"5m0s\""`
 }
 
 const (
@@ -78,18 +78,22 @@
 }
 
 const (
-	// lagFraction and drainFraction are the maximum fractions of the grace period that the
-	// lag and the drain take. The rest is left for the process to exit.
-	lagFraction   = 0.45
-	drainFraction = 0.35
+	// lagFraction is the maximum fraction of the grace period that the lag takes.
+	lagFraction = 0.45
+	// exitTime is the time before the end of the grace period at which the last requests are
+	// answered: the answers are written, the peers are told, and the process exits. It is at
+	// most exitFraction of the grace period.
+	exitTime     = 400 * time.Millisecond
+	exitFraction = 0.25
 )
 
-// Durations returns the lag and the drain, shortened to fit the grace period.
+// Durations returns the lag and the drain, so that they fit the grace period. Requests that a
+// server is still executing are waited for as long as the grace period allows.
 func (s Shutdown) Durations() (lag, drain time.Duration) {
 	lag, drain = time.Duration(s.Lag), time.Duration(s.Drain)
-	if s.Grace > 0 {
-		lag = min(lag, time.Duration(lagFraction*float64(s.Grace)))
-		drain = min(drain, time.Duration(drainFraction*float64(s.Grace)))
+	if grace := time.Duration(s.Grace); grace > 0 {
+		lag = min(lag, time.Duration(lagFraction*float64(grace)))
+		drain = grace - lag - min(exitTime, time.Duration(exitFraction*float64(grace)))
 	}
 	return lag, drain
 }
--- a/io/setup/setup_test.go
+++ b/io/setup/setup_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
+	"hyssoppitch/core/model"
 	"hyssoppitch/io/setup"
 )
 
@@ -52,6 +54,23 @@
 	}
 }
 
+// TestDrainLastsUntilTheEndOfTheGracePeriod guards against a stop that ends long before the grace
+// period: the drain takes all but the lag and the time to exit.
+func TestDrainLastsUntilTheEndOfTheGracePeriod(t *testing.T) {
+	tests := []struct{ grace, lag, drain, wantLag, wantDrain time.Duration }{
+		{grace: 6 * time.Second, lag: 3 * time.Second, drain: 3 * time.Second, wantLag: 2700 * time.Millisecond, wantDrain: 2900 * time.Millisecond},
+		{grace: 30 * time.Second, lag: 3 * time.Second, drain: 3 * time.Second, wantLag: 3 * time.Second, wantDrain: 26600 * time.Millisecond},
+		{grace: time.Second, lag: 2 * time.Second, drain: time.Second, wantLag: 450 * time.Millisecond, wantDrain: 300 * time.Millisecond},
+		{lag: 2 * time.Second, drain: 10 * time.Second, wantLag: 2 * time.Second, wantDrain: 10 * time.Second},
+	}
+	for _, test := range tests {
+		s := setup.Shutdown{Grace: model.Duration(test.grace), Lag: model.Duration(test.lag), Drain: model.Duration(test.drain)}
+		if lag, drain := s.Durations(); lag != test.wantLag || drain != test.wantDrain {
+			t.Errorf("grace %v, lag %v, drain %v: got %v and %v, want %v and %v", test.grace, test.lag, test.drain, lag, drain, test.wantLag, test.wantDrain)
+		}
+	}
+}
+
 // TestSettingsPageMatchesStruct checks that docs/settings.md contains the current output of
 // Describe.
 func TestSettingsPageMatchesStruct(t *testing.T) {
