Peers: a link that carries nothing is closed and replaced

Cause: a link had no timeout for reading, and while there is one the hub neither dials nor accepts another link to the same incarnation.

Ruled out: silence that isn't noticed (the view suspects the peers after 2 s).

Change: four checks of 0.5 s without a message close a link; of two links dialed by the same instance the later one stays, by a number in the Hello; the hub remembers who was reached at an address. The end of a link is logged with its cause.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -242,6 +242,7 @@
 	case event.PeerLost:
 		e.Members.Unlink(now, v.Peer)
 		e.recordUnlink(v.Peer)
+		e.Emit(event.StateChanged{Kind: "peer", Name: string(v.Peer), From: "linked", To: "unlinked", Cause: v.Cause})
 	case event.MessageReceived:
 		e.handleMessage(now, v.From, v.Message)
 	case event.RootReceived:
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -254,6 +254,8 @@
 type PeerLost struct {
 	Peer        model.InstanceID
 	Incarnation model.Incarnation
+	// Cause is why the link ended, for logs; it may be empty.
+	Cause string
 }
 
 // MessageReceived reports a message from a peer.
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -73,6 +73,9 @@
 // Hello is the first message on a link and identifies its sender.
 type Hello struct {
 	Self model.Instance `cbor:"1,keyasint"`
+	// Dial numbers the connections that the sender has dialed, from one; zero if the receiver
+	// has dialed this one.
+	Dial uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Ping checks that a peer is reachable.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,20 @@
 	// peers.
 	redialDelay         = 300 * time.Millisecond
 	unlinkedRedialDelay = 50 * time.Millisecond
+	// A link on which nothing arrives for maxSilentChecks checks in a row is closed: its
+	// connection may have gone silent for good, while a new one would work. Peers ping each
+	// other twice a second. Checks are counted instead of time, so that an instance that was
+	// suspended doesn't close the links of the peers that it didn't hear.
+	silenceCheckInterval = 500 * time.Millisecond
+	maxSilentChecks      = 4
+)
+
+// The causes of the end of a link, for logs.
+var (
+	errSilent    = errors.New("nothing arrived for too long")
+	errReplaced  = errors.New("replaced by another link to the peer")
+	errQueueFull = errors.New("the send queue is full")
+	errClosed    = errors.New("this instance stops")
 )
 
 // Sink receives messages and changes of links as events.
@@ -61,6 +76,11 @@
 
 	mu    sync.Mutex
 	links map[model.InstanceID]*link
+	// reached holds the peer that was last reached at each dialed address. It may be known to
+	// others by another address.
+	reached map[string]model.InstanceID
+	// dials counts the connections that this instance has dialed.
+	dials uint64
 	// dialing holds, for each address with a dialer, the function that stops the dialer.
 	dialing map[string]context.CancelFunc
 	closed  bool
@@ -69,23 +89,61 @@
 // link is one connection to a peer.
 type link struct {
 	peer model.Instance
-	// dialer is the instance that opened the connection.
+	// dialer is the instance that opened the connection, and dial its number there.
 	dialer    model.InstanceID
+	dial      uint64
 	conn      *websocket.Conn
 	out       chan []byte
 	done      chan struct{}
 	closeOnce sync.Once
+	// cause is why the link was closed by this instance. It is set before done is closed.
+	cause error
+	// received counts the messages that arrived.
+	received atomic.Uint64
+}
+
+func (l *link) close(cause error) {
+	l.closeOnce.Do(func() {
+		l.cause = cause
+		close(l.done)
+	})
+}
+
+// closeWhenSilent closes the link when nothing arrives on it for too long.
+func (l *link) closeWhenSilent() {
+	tick := time.NewTicker(silenceCheckInterval)
+	defer tick.Stop()
+	silentChecks, before := 0, l.received.Load()
+	for silentChecks < maxSilentChecks {
+		select {
+		case <-l.done:
+			return
+		case <-tick.C:
+		}
+		received := l.received.Load()
+		silentChecks++
+		if received != before {
+			silentChecks, before = 0, received
+		}
+	}
+	l.close(errSilent)
 }
 
-func (l *link) close() {
-	l.closeOnce.Do(func() { close(l.done) })
+// outranks reports whether both sides keep l in place of o, another link to the same incarnation of
+// the peer: the one that was dialed by the instance with the smaller ID, or dialed later by the
+// same instance, which has given up the earlier one.
+func (l *link) outranks(o *link) bool {
+	if l.dialer != o.dialer {
+		return l.dialer < o.dialer
+	}
+	return l.dial >= o.dial
 }
 
 // NewHub returns a hub without links.
 func NewHub(self model.Instance, sink Sink) *Hub {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHeadBytes}}
-	return &Hub{self: self, sink: sink, client: client, links: map[model.InstanceID]*link{}, dialing: map[string]context.CancelFunc{}}
+	return &Hub{self: self, sink: sink, client: client, links: map[model.InstanceID]*link{}, reached: map[string]model.InstanceID{}, dialing: map[string]context.CancelFunc{}}
 }
 
 // SetPeers sets the addresses to keep links to. The hub dials each address, and redials
@@ -105,6 +163,7 @@
 		if !want[a] {
 			cancel()
 			delete(h.dialing, a)
+			delete(h.reached, a)
 		}
 	}
 	for a, wanted := range want {
@@ -126,7 +185,7 @@
 			return true
 		}
 	}
-	return false
+	return h.links[h.reached[address]] != nil
 }
 
 // redialDelay returns the delay before the next attempt to connect to a peer.
@@ -163,7 +222,7 @@
 	if reply != nil && reply.Body != nil {
 		_ = reply.Body.Close()
 	}
-	return h.serveLink(ctx, conn, true)
+	return h.serveLink(ctx, conn, address)
 }
 
 // ServeHTTP accepts a link.
@@ -183,72 +242,93 @@
 		return
 	}
 	defer h.group.Done()
-	_ = h.serveLink(context.WithoutCancel(r.Context()), conn, false)
+	_ = h.serveLink(context.WithoutCancel(r.Context()), conn, "")
 }
 
-// serveLink exchanges hello messages, registers the link and serves it until it ends.
-func (h *Hub) serveLink(ctx context.Context, conn *websocket.Conn, dialed bool) (err error) {
+// serveLink exchanges hello messages, registers the link and serves it until it ends. dialed is the
+// address that this instance has dialed, or empty if the peer has opened the connection.
+func (h *Hub) serveLink(ctx context.Context, conn *websocket.Conn, dialed string) (err error) {
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(maxMessageBytes)
-	peer, err := h.exchangeHello(ctx, conn)
+	own := event.Hello{Self: h.self}
+	if dialed != "" {
+		own.Dial = h.nextDial()
+	}
+	hello, err := exchangeHello(ctx, conn, own)
 	if err != nil {
 		return err
 	}
-	l := &link{peer: peer, dialer: peer.ID, conn: conn, out: make(chan []byte, sendQueueSize), done: make(chan struct{})}
-	if dialed {
-		l.dialer = h.self.ID
+	peer := hello.Self
+	l := &link{peer: peer, dialer: peer.ID, dial: hello.Dial, conn: conn, out: make(chan []byte, sendQueueSize), done: make(chan struct{})}
+	if dialed != "" {
+		l.dialer, l.dial = h.self.ID, own.Dial
+		h.recordReached(dialed, peer.ID)
 	}
 	if !h.register(l) {
 		return nil
 	}
-	defer h.unregister(l)
+	defer func() { h.unregister(l, err) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		h.writeLoop(ctx, l)
 		cancel()
 	}()
+	go l.closeWhenSilent()
 	return h.readLoop(ctx, l)
 }
 
-// exchangeHello sends a Hello message and returns the peer from the one received.
-func (h *Hub) exchangeHello(ctx context.Context, conn *websocket.Conn) (peer model.Instance, err error) {
+// nextDial returns the number of the next connection that this instance dials.
+func (h *Hub) nextDial() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dials++
+	return h.dials
+}
+
+// recordReached records which peer was reached at an address.
+func (h *Hub) recordReached(address string, peer model.InstanceID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reached[address] = peer
+}
+
+// exchangeHello sends a Hello message and returns the one received.
+func exchangeHello(ctx context.Context, conn *websocket.Conn, own event.Hello) (hello *event.Hello, err error) {
 	defer func() { err = errors.Wrap(err, "greet") }()
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	data, err := cbor.Marshal(event.Message{Hello: &event.Hello{Self: h.self}})
+	data, err := cbor.Marshal(event.Message{Hello: &own})
 	if err != nil {
-		return peer, err
+		return nil, err
 	}
 	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return peer, err
+		return nil, err
 	}
 	_, data, err = conn.Read(ctx)
 	if err != nil {
-		return peer, err
+		return nil, err
 	}
 	var m event.Message
 	if err := cbor.Unmarshal(data, &m); err != nil {
-		return peer, err
+		return nil, err
 	}
 	if m.Hello == nil || m.Hello.Self.ID == "" {
-		return peer, errors.New("the first message is not a Hello with an instance ID")
+		return nil, errors.New("the first message is not a Hello with an instance ID")
 	}
-	if m.Hello.Self.ID == h.self.ID {
-		return peer, errors.Newf("the peer has the same instance ID %q as this instance", h.self.ID)
+	if m.Hello.Self.ID == own.Self.ID {
+		return nil, errors.Newf("the peer has the same instance ID %q as this instance", own.Self.ID)
 	}
-	return m.Hello.Self, nil
+	return m.Hello, nil
 }
 
 // register adds a link, unless there is one to be kept in its place, and closes the link
-// that it replaces. A link to a newer incarnation of the peer replaces the older one. Of
-// two links to the same incarnation, both sides keep the one that was dialed by the
-// instance with the smaller ID.
+// that it replaces. A link to a newer incarnation of the peer replaces the older one.
 func (h *Hub) register(l *link) bool {
 	h.mu.Lock()
 	old := h.links[l.peer.ID]
-	keepOld := old != nil && old.peer.Incarnation >= l.peer.Incarnation &&
-		(old.peer.Incarnation > l.peer.Incarnation || old.dialer <= l.dialer)
+	keepOld := old != nil && (old.peer.Incarnation > l.peer.Incarnation ||
+		(old.peer.Incarnation == l.peer.Incarnation && old.outranks(l)))
 	if h.closed || keepOld {
 		h.mu.Unlock()
 		return false
@@ -256,14 +336,15 @@
 	h.links[l.peer.ID] = l
 	h.mu.Unlock()
 	if old != nil {
-		old.close()
+		old.close(errReplaced)
 	}
 	h.sink.Post(event.PeerLinked{Peer: l.peer})
 	return true
 }
 
-func (h *Hub) unregister(l *link) {
-	l.close()
+// unregister removes a link that has ended with an error.
+func (h *Hub) unregister(l *link, err error) {
+	l.close(err)
 	h.mu.Lock()
 	last := h.links[l.peer.ID] == l
 	if last {
@@ -271,7 +352,11 @@
 	}
 	h.mu.Unlock()
 	if last {
-		h.sink.Post(event.PeerLost{Peer: l.peer.ID, Incarnation: l.peer.Incarnation})
+		lost := event.PeerLost{Peer: l.peer.ID, Incarnation: l.peer.Incarnation}
+		if l.cause != nil {
+			lost.Cause = l.cause.Error()
+		}
+		h.sink.Post(lost)
 	}
 }
 
@@ -281,6 +366,7 @@
 		if err != nil {
 			return err
 		}
+		l.received.Add(1)
 		var m event.Message
 		if err := cbor.Unmarshal(data, &m); err != nil {
 			return errors.Wrapf(err, "decode message from %s", l.peer.ID)
@@ -301,6 +387,7 @@
 			err := l.conn.Write(writeCtx, websocket.MessageBinary, data)
 			cancel()
 			if err != nil {
+				l.close(err)
 				return
 			}
 		}
@@ -324,8 +411,8 @@
 	select {
 	case l.out <- data:
 	default:
-		l.close()
-		return errors.New("the send queue is full")
+		l.close(errQueueFull)
+		return errQueueFull
 	}
 	return nil
 }
@@ -338,7 +425,7 @@
 		cancel()
 	}
 	for _, l := range h.links {
-		l.close()
+		l.close(errClosed)
 	}
 	h.mu.Unlock()
 	h.group.Wait()
