Shares: what all instances may do together is divided by those seen lately

Cause: the slack of retry budgets and the rate of cold servers were divided by the live instances of the own view, and an instance that sees no other divided by one.

Ruled out: two owners of a cold server in views that agree (no instance lost: 10 a second).

Change: an instance that is lost or leaves keeps its share for 30 s; one that has seen no other assumes 100 for a minute and then as many as its settings name. Retry slack, cold rates and rate limits use this number; capacity and connections still follow the live instances. design/shares.md.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -83,6 +83,13 @@
 	// the settings tell. assumedInstances is that number while the members are not known yet,
 	// and zero later.
 	expectedInstances, assumedInstances int
+	// shares is the number of instances among which that is divided what all of them may do
+	// together. linkedOnce is set once this instance has had a link to a peer, and settled
+	// once it has had one or has waited long enough.
+	shares              int
+	linkedOnce, settled bool
+	// reportedShares is the last logged value of shares.
+	reportedShares int
 	// reportedNotReady is the last logged result of NotReadyReason.
 	reportedNotReady string
 	// deferredUpdates holds peers' updates about servers that are not in the active
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -22,6 +22,7 @@
 func (e *Engine) runMaintenance(now time.Time) {
 	e.publishMemberUpdates(now, "", e.Members.Tick(now))
 	e.refreshLiveInstances(now)
+	e.reportShares()
 	e.updateLinks()
 	e.pingPeers(now)
 	for _, b := range e.Servers.Rows {
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -1,17 +1,20 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/limit"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/relay"
 )
 
 // handlePeerLinked sends a new peer the state that it may lack: members, configuration
 // root, servers' states and condemned fingerprints.
 func (e *Engine) handlePeerLinked(now time.Time, p model.Instance) {
+	e.linkedOnce = true
 	e.publishMemberUpdates(now, "", e.Members.Link(now, p))
 	e.recordLink(now, p.ID)
 	if e.config.active.Version != 0 {
@@ -213,18 +216,55 @@
 // set has changed.
 func (e *Engine) refreshLiveInstances(now time.Time) {
 	liveInstances := e.Members.Live()
-	atLeast := e.expectedInstances
-	if now.Sub(e.directory.startedAt) > membershipSettleTime {
-		atLeast = 0
+	settling := now.Sub(e.directory.startedAt) <= membershipSettleTime
+	atLeast := 0
+	if settling {
+		atLeast = e.expectedInstances
 	}
-	if slices.Equal(liveInstances, e.liveInstances) && atLeast == e.assumedInstances {
+	shares := max(e.Members.Shares(now), e.unseenShares(now))
+	settled := e.linkedOnce || !settling || e.expectedInstances <= 1
+	if slices.Equal(liveInstances, e.liveInstances) && atLeast == e.assumedInstances && shares == e.shares && settled == e.settled {
 		return
 	}
-	e.liveInstances, e.assumedInstances = liveInstances, atLeast
+	e.liveInstances, e.assumedInstances, e.shares, e.settled = liveInstances, atLeast, shares, settled
 	e.Warm.SetMembers(now, liveInstances)
 	e.Queries.SetLiveInstances(len(liveInstances))
 	if e.Relay != nil {
-		e.Relay.SetLiveInstances(liveInstances, atLeast)
+		e.Relay.SetMembership(relay.Membership{Live: liveInstances, AtLeast: atLeast, Shares: shares, Settled: settled})
+	}
+}
+
+// reportShares logs a change of the number of instances among which budgets are divided.
+func (e *Engine) reportShares() {
+	if e.shares == e.reportedShares {
+		return
+	}
+	e.Emit(event.StateChanged{
+		Kind: "shares", Name: string(e.Self.ID), From: fmt.Sprint(e.reportedShares), To: fmt.Sprint(e.shares),
+		Cause: fmt.Sprintf("%d live instances, %d expected by the settings", len(e.liveInstances), e.expectedInstances),
+	})
+	e.reportedShares = e.shares
+}
+
+const (
+	// unseenTime is the time after its start for which an instance that has seen no other
+	// assumes unseenInstances of them: it can't know their number, and they may see each other as
+	// little as it does. Later it assumes as many as the settings let it expect.
+	unseenTime      = time.Minute
+	unseenInstances = 100
+)
+
+// unseenShares returns the number of instances that an instance must assume because it doesn't know
+// the others yet, or has found none.
+func (e *Engine) unseenShares(now time.Time) int {
+	age := now.Sub(e.directory.startedAt)
+	switch {
+	case e.expectedInstances <= 1 || (e.linkedOnce && age > membershipSettleTime):
+		return 0
+	case !e.linkedOnce && age <= unseenTime:
+		return max(unseenInstances, e.expectedInstances)
+	default:
+		return e.expectedInstances
 	}
 }
 
--- a/core/engine/ratelimit_test.go
+++ b/core/engine/ratelimit_test.go
@@ -30,6 +30,8 @@
 	// took.
 	answered int
 	refusals []fleetRefusal
+	// even is set if the callers use all instances alike.
+	even bool
 }
 
 type fleetRefusal struct {
@@ -111,6 +113,9 @@
 	}
 	for at := f.now; at.Before(f.now.Add(d)); at = at.Add(time.Duration(f.rand.ExpFloat64() / perSecond * float64(time.Second))) {
 		draw, i := f.rand.Float64()*total, 0
+		if f.even {
+			i, draw = f.rand.IntN(len(f.ids)), 0
+		}
 		for draw--; draw > 0 && i < len(f.ids)-1; draw -= 1 / float64(i+1) {
 			i++
 		}
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -87,7 +87,7 @@
 func (s *System) budgetAllows(now time.Time, group string, fraction float64) bool {
 	first, extra := s.budget(now, group).totals()
 	r := s.Options.Retries
-	limit := r.Ratio*ratioFraction*float64(first) + r.Slack*slackFraction/float64(s.instanceCount)
+	limit := r.Ratio*ratioFraction*float64(first) + r.Slack*slackFraction/float64(s.members.Shares)
 	return float64(extra+1) <= fraction*limit
 }
 
--- a/core/relay/limitsync.go
+++ b/core/relay/limitsync.go
@@ -59,7 +59,7 @@
 // SpreadRateLimits does the periodic work on rate limits. It returns what the peers are to be
 // told, or nil.
 func (s *System) SpreadRateLimits(now time.Time) *event.RateLimits {
-	s.demand.SetLive(now, s.live, s.instanceCount)
+	s.demand.SetLive(now, s.members.Live, s.members.Shares)
 	if len(s.limited) == 0 {
 		return nil
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -69,7 +69,6 @@
 	minLatency   map[string]*minLatency
 	budgets      map[string]*budget
 	pickers      map[string]*weightedPicker
-	coldLimiters map[model.ServerID]*coldLimiter
 	// checks holds the pending connection checks of servers that may have crashed.
 	checks map[model.ServerID]*check
 	// demand holds the demand of all instances, and arrivals counts the requests that this one
@@ -80,22 +79,21 @@
 	// last call of SpreadRateLimits.
 	limited map[model.ServerID]*roster.Server
 	// stopBy is when every request must be answered; zero unless the instance shuts down.
-	stopBy time.Time
-	// live lists the live instances; each cold server is assigned to one of them.
-	live []model.InstanceID
+	stopBy  time.Time
+	members Membership
 }
 
 // Init initializes the system. The exported fields must be set before.
 func (s *System) Init() {
 	s.table = &model.RoutingTable{}
 	s.instanceCount = 1
+	s.members = Membership{Shares: 1, Settled: true}
 	s.requests = map[event.QueryID]*Request{}
 	s.attempts = map[event.AttemptID]*Attempt{}
 	s.serviceTimes = map[string]*serviceTimeEstimate{}
 	s.minLatency = map[string]*minLatency{}
 	s.budgets = map[string]*budget{}
 	s.pickers = map[string]*weightedPicker{}
-	s.coldLimiters = map[model.ServerID]*coldLimiter{}
 	s.checks = map[model.ServerID]*check{}
 	s.demand = quota.NewDemand(s.Self.ID)
 	s.arrivals = map[string]*budget{}
@@ -116,11 +114,25 @@
 	return true
 }
 
-// SetLiveInstances sets the live instances, which share budgets, connections and the capacity
-// of servers, and the number of instances to assume if there are fewer.
-func (s *System) SetLiveInstances(live []model.InstanceID, atLeast int) {
-	s.live = live
-	s.instanceCount = max(1, len(live), atLeast)
+// Membership is what an instance knows of the others.
+type Membership struct {
+	// Live lists the live instances, this one included. They share the capacity and the
+	// connections of servers; if there are fewer than AtLeast, that number of them is assumed.
+	Live    []model.InstanceID
+	AtLeast int
+	// Shares is the number of instances among which that is divided what all of them may do
+	// together: the slack of retry budgets, the rates of cold servers and rate limits. It is at
+	// least the number of live instances, since others may be alive that this one doesn't see.
+	Shares int
+	// Settled is false while the instance has just started and has had no link to a peer.
+	Settled bool
+}
+
+// SetMembership sets what is known of the other instances.
+func (s *System) SetMembership(m Membership) {
+	m.Shares = max(1, m.Shares, len(m.Live))
+	s.members = m
+	s.instanceCount = max(1, len(m.Live), m.AtLeast)
 }
 
 // InFlight returns the number of requests that are unanswered, or answered with a
--- a/core/roster/health.go
+++ b/core/roster/health.go
@@ -44,6 +44,9 @@
 	// Backoff the last delay.
 	DownUntil time.Time
 	Backoff   time.Duration
+	// ColdNextAt is when this instance may send the next request to the server while it is
+	// cold; zero if that is not determined yet.
+	ColdNextAt time.Time
 
 	// Limit is the rate limit that the server names.
 	Limit quota.Limit
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -214,7 +214,7 @@
 		n.routed = newRouted(n, d.Platform)
 		o := relayOptions(s)
 		options.Relay = &o
-		options.ExpectedInstances = len(s.Seeds) + 1
+		options.ExpectedInstances = expectedInstances(s.Seeds, n.self.Address)
 		// Other instances find each other through the seeds, so a seed has links first. An
 		// instance that knows no seed gets the directory from nobody.
 		options.ReadsDirectoryFirst = len(s.Seeds) == 0 || slices.Contains(s.Seeds, n.self.Address)
@@ -224,6 +224,15 @@
 	return n
 }
 
+// expectedInstances returns the number of instances that the settings of one of them let it expect:
+// itself and the seeds, of which only the first ones are named in a larger deployment.
+func expectedInstances(seeds []string, self string) int {
+	if len(seeds) == 0 || (len(seeds) == 1 && seeds[0] == self) {
+		return 1
+	}
+	return len(seeds) + 1
+}
+
 // Address returns the address that callers connect to.
 func (n *Node) Address() string { return n.listener.Addr().String() }
 
