Poison: recognize a crashing request whose headers change

Cause: the fingerprint was a hash over all relayed headers, so that an attempt with one other header was another request.

Ruled out: crashes that aren't attributed, and instances that don't hear (each attempt raised a suspicion at all instances, each with another fingerprint).

Change: the fingerprint covers method, host, target and body; headers are traits beside it. What crashing requests with one fingerprint have in common identifies them, so that other callers with the same path and body aren't affected. A request that resembles a suspected one is isolated.

TestFingerprintIgnoresRequestIDAndTimeout demanded another fingerprint for another header, which is the fault; TestIdentityOfRequests replaces it and checks fingerprint and traits, host and target forms too.

--- a/core/engine/directory_test.go
+++ b/core/engine/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -128,8 +129,8 @@
 // condemned fingerprints, since a restarted instance has lost them.
 func TestNewPeerReceivesCondemnedFingerprints(t *testing.T) {
 	r := newRoutedInstance("a")
-	r.Suspects.RecordCrash(r.now, 7, true)
-	r.Suspects.RecordCrash(r.now, 8, false)
+	r.Suspects.RecordCrash(r.now, model.Identity{Fingerprint: 7, Traits: model.Traits{3, 9}}, true)
+	r.Suspects.RecordCrash(r.now, model.Identity{Fingerprint: 8}, false)
 	r.link("b")
 	var got []event.Suspicion
 	for _, c := range r.emitted {
@@ -137,7 +138,7 @@
 			got = append(got, *m.Message.Suspects)
 		}
 	}
-	if want := []event.Suspicion{{Fingerprint: 7, State: event.SuspicionCondemned, Generation: 1}}; !slices.Equal(got, want) {
+	if want := []event.Suspicion{{Fingerprint: 7, Traits: model.Traits{3, 9}, State: event.SuspicionCondemned, Generation: 1}}; !reflect.DeepEqual(got, want) {
 		t.Errorf("sent to the new peer: got %v, want %v", got, want)
 	}
 }
--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -36,6 +36,9 @@
 	case m.RateLimits != nil:
 		return invalidRateLimits(m.RateLimits)
 	case m.Suspects != nil:
+		if t := m.Suspects.Traits; !t.Valid() {
+			return fmt.Sprintf("suspects: fingerprint %s: %d traits, too many or not in ascending order", m.Suspects.Fingerprint, len(t))
+		}
 		if s := m.Suspects.State; s < event.SuspicionRaised || s > event.SuspicionCondemned {
 			return fmt.Sprintf("suspicion: state %d", s)
 		}
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -248,6 +248,8 @@
 	// Generation increases when a cleared query is suspected again. A higher generation
 	// overrides a lower one, but SuspicionCondemned overrides all.
 	Generation uint64 `cbor:"3,keyasint"`
+	// Traits are those of the requests that the state applies to.
+	Traits model.Traits `cbor:"4,keyasint,omitempty"`
 }
 
 // GetDirectory asks a peer for its copy of the directory.
--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -23,9 +23,15 @@
 	// of a new connection and the transfer of the request and its answer. Zero means that
 	// it is unknown.
 	NetworkTime time.Duration
-	// Fingerprint is the same for requests that differ only in RequestID and
-	// CallerTimeout.
+	// Fingerprint is the same for requests that differ only in headers. Traits are the headers
+	// other than RequestID and CallerTimeout.
 	Fingerprint model.Fingerprint
+	Traits      model.Traits
+}
+
+// Identity returns what the request is recognized by when it comes again.
+func (r *RoutedRequest) Identity() model.Identity {
+	return model.Identity{Fingerprint: r.Fingerprint, Traits: r.Traits}
 }
 
 // Reply is the complete reply of one backend server to one exchange.
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -5,7 +5,6 @@
 package model
 
 import (
-	"encoding/hex"
 	"slices"
 	"time"
 
@@ -33,27 +32,6 @@
 // MapEpoch is a version of a service's division of the key space into groups.
 type MapEpoch uint64
 
-// Fingerprint identifies a query by its service and body, independent of the caller.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a query body sent to a service.
-func FingerprintOf(service string, body []byte) Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(service)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return Fingerprint(d.Sum64())
-}
-
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string {
-	b := make([]byte, 0, 8)
-	for shift := 56; shift >= 0; shift -= 8 {
-		b = append(b, byte(f>>shift))
-	}
-	return hex.EncodeToString(b)
-}
-
 // Position returns the position of a routing key in the key space.
 func Position(key string) uint32 {
 	return uint32(xxhash.Sum64String(key) % KeySpace)
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -83,7 +83,7 @@
 		AnswerBy:    s.beforeStop(now.Add(timeout - answerMargin)),
 	}
 	q.usePlan(s.choosePlan(svc, r.Key))
-	if e := s.Suspects.Get(now, q.Fingerprint); e != nil && e.State == event.SuspicionCondemned {
+	if e := s.Suspects.Get(now, q.identity()); e != nil && e.State == event.SuspicionCondemned {
 		return nil, refuse(event.RefusePoison, 0, "query %s crashed the servers that ran it", q.Fingerprint)
 	}
 	if code := s.overloadRefusal(now, q); code != "" {
--- a/core/query/place.go
+++ b/core/query/place.go
@@ -30,7 +30,7 @@
 		return true
 	}
 	isSuspect := s.isSuspect(now, q)
-	if isSuspect && s.Suspects.Get(now, q.Fingerprint).InFlight > 0 {
+	if isSuspect && s.Suspects.Isolated(q.Fingerprint) > 0 {
 		return false
 	}
 	b := s.choose(now, q, l, isSuspect)
@@ -51,12 +51,12 @@
 
 // isSuspect reports whether the query is suspected, or known, to crash servers.
 func (s *System) isSuspect(now time.Time, q *Query) bool {
-	return s.Suspects.Get(now, q.Fingerprint) != nil
+	return s.Suspects.Get(now, q.identity()) != nil
 }
 
 // isCondemned reports whether the query is known to crash servers.
 func (s *System) isCondemned(now time.Time, q *Query) bool {
-	e := s.Suspects.Get(now, q.Fingerprint)
+	e := s.Suspects.Get(now, q.identity())
 	return e != nil && e.State == event.SuspicionCondemned
 }
 
@@ -181,9 +181,9 @@
 		a.Grant = s.Warm.TakeGrant(b)
 		a.Deadline = now.Add(warm.MaxAttemptTime)
 	}
-	if e := s.Suspects.Get(now, q.Fingerprint); e != nil {
+	if e := s.Suspects.Get(now, q.identity()); e != nil {
 		a.Isolated = true
-		e.InFlight++
+		s.Suspects.BeginIsolated(q.Fingerprint)
 		b.SuspectInFlight++
 	}
 	b.InFlight++
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -92,6 +92,9 @@
 	Answered bool
 }
 
+// identity returns what the query is recognized by when it comes again.
+func (q *Query) identity() model.Identity { return model.Identity{Fingerprint: q.Fingerprint} }
+
 // AttemptKind is the reason for which an attempt was sent.
 type AttemptKind int
 
@@ -135,6 +138,9 @@
 	Grant  limit.HeldGrant
 }
 
+// identity returns the identity of the attempt's query.
+func (a *Attempt) identity() model.Identity { return model.Identity{Fingerprint: a.Fingerprint} }
+
 // Counters holds the totals since the instance started.
 type Counters struct {
 	QueriesArrived      uint64 `json:"queries-arrived"`
--- a/core/query/reply.go
+++ b/core/query/reply.go
@@ -153,9 +153,7 @@
 func (s *System) updateSuspicion(now time.Time, a *Attempt, e event.AttemptEnded) {
 	if a.Isolated {
 		a.Server.SuspectInFlight--
-		if entry := s.Suspects.Get(now, a.Fingerprint); entry != nil {
-			entry.InFlight = max(0, entry.InFlight-1)
-		}
+		s.Suspects.EndIsolated(a.Fingerprint)
 		s.serviceChanged(a.Server.Service)
 	}
 	switch {
@@ -163,13 +161,13 @@
 		// The crash of a cold server with other attempts in flight may be due to
 		// overload.
 		isolated := a.Isolated && (!a.ToCold || a.Server.InFlight == 1)
-		update := s.Suspects.RecordCrash(now, a.Fingerprint, isolated)
+		update := s.Suspects.RecordCrash(now, a.identity(), isolated)
 		if update.State == event.SuspicionCondemned {
 			s.Counters.QueriesCondemned++
 		}
 		s.Broadcaster.Broadcast(event.Message{Suspects: &update})
 	case e.Kind == event.Answered && a.Isolated:
-		if update, ok := s.Suspects.Clear(now, a.Fingerprint); ok {
+		for _, update := range s.Suspects.Clear(now, a.identity()) {
 			s.Broadcaster.Broadcast(event.Message{Suspects: &update})
 		}
 	}
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -98,6 +98,10 @@
 		s.beginIsolation(now, q)
 		return
 	}
+	if s.Suspects.Resembles(now, q.Identity()) {
+		s.isolate(now, q, "it has the fingerprint of a request that crashes servers, and other headers")
+		return
+	}
 	servers, blocked := s.chooseServers(now, q)
 	if blocked != "" {
 		if s.keptByLimits(now, q) {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -118,7 +118,7 @@
 			Instance: s.Self.ID, Incarnation: s.Self.Incarnation, Query: q.Query, Leg: leg, Number: q.AttemptCount,
 		},
 		Server: b, Leg: leg, SentAt: now, BaselineLatency: s.baselineLatency(q.Route.Name, b.DataCentre), Route: q.Route.Name,
-		Fingerprint: q.Fingerprint, WasIsolated: q.Isolated,
+		Identity: q.Identity(), WasIsolated: q.Isolated,
 	}
 	if a.WasIsolated {
 		s.recordIsolatedAttempt(now, q, a)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -128,8 +128,8 @@
 	// sent.
 	BaselineLatency time.Duration
 	// Route is the name of the route whose service time the attempt is a sample of.
-	Route       string
-	Fingerprint model.Fingerprint
+	Route    string
+	Identity model.Identity
 	// WasIsolated is set if the request was isolated when the attempt was sent.
 	WasIsolated bool
 	// NotExecuted is set once the server is known not to have executed the request.
--- a/core/relay/simulation_test.go
+++ b/core/relay/simulation_test.go
@@ -309,12 +309,18 @@
 	return w.sendWithFingerprint(model.Fingerprint(1<<32 + w.lastID))
 }
 
-// sendWithFingerprint sends one request with the given fingerprint.
-func (w *simulation) sendWithFingerprint(f model.Fingerprint) event.QueryID {
+// sendWithFingerprint sends one request with the given fingerprint and headers.
+func (w *simulation) sendWithFingerprint(f model.Fingerprint, headers ...string) event.QueryID {
+	return w.sendLike(f, f, headers...)
+}
+
+// sendLike sends one request with the given fingerprint and headers, at which servers crash as at those
+// with the fingerprint effect.
+func (w *simulation) sendLike(effect, f model.Fingerprint, headers ...string) event.QueryID {
 	w.lastID++
-	w.askedAt[w.lastID], w.fingerprints[w.lastID] = w.now, f
+	w.askedAt[w.lastID], w.fingerprints[w.lastID] = w.now, effect
 	w.HandleRequest(w.now, event.RoutedRequest{
-		Query: w.lastID, RequestID: fmt.Sprint(w.lastID), Host: "h", Path: "/a/x", CallerTimeout: 2500 * ms, Fingerprint: f,
+		Query: w.lastID, RequestID: fmt.Sprint(w.lastID), Host: "h", Path: "/a/x", CallerTimeout: 2500 * ms, Fingerprint: f, Traits: model.NewTraits(headers),
 		NetworkTime: 4 * w.callerDelay,
 	})
 	return w.lastID
--- a/core/relay/suspect.go
+++ b/core/relay/suspect.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -27,24 +28,29 @@
 
 // suspected reports whether the fingerprint of a request is suspected or condemned.
 func (s *System) suspected(now time.Time, q *Request) bool {
-	return s.Suspects.Get(now, q.Fingerprint) != nil
+	return s.Suspects.Get(now, q.Identity()) != nil
 }
 
 // condemned reports whether the fingerprint of a request is condemned.
 func (s *System) condemned(now time.Time, q *Request) bool {
-	e := s.Suspects.Get(now, q.Fingerprint)
+	e := s.Suspects.Get(now, q.Identity())
 	return e != nil && e.State == event.SuspicionCondemned
 }
 
 // beginIsolation sends the first isolated attempt of a suspected request. It holds the
 // request while another one with the same fingerprint has an isolated attempt in flight.
 func (s *System) beginIsolation(now time.Time, q *Request) {
-	if s.Suspects.Get(now, q.Fingerprint).InFlight > 0 {
+	if s.Suspects.Isolated(q.Fingerprint) > 0 {
 		s.hold(now, q, "another request with this fingerprint is on trial after a server crash")
 		return
 	}
+	s.isolate(now, q, "a server crashed with a request of this fingerprint in flight")
+}
+
+// isolate sends the first isolated attempt of a request.
+func (s *System) isolate(now time.Time, q *Request, cause string) {
 	q.Isolated = true
-	q.addStep(now, event.Step{Decision: "on-trial", Cause: "a server crashed with a request of this fingerprint in flight: " + q.Fingerprint.String()})
+	q.addStep(now, event.Step{Decision: "on-trial", Cause: cause + ": " + q.Fingerprint.String()})
 	s.retryIsolated(now, q)
 }
 
@@ -65,9 +71,7 @@
 func (s *System) recordIsolatedAttempt(now time.Time, q *Request, a *Attempt) {
 	q.IsolatedAttempt = a
 	a.Server.IsolatedAttempts++
-	if e := s.Suspects.Get(now, a.Fingerprint); e != nil {
-		e.InFlight++
-	}
+	s.Suspects.BeginIsolated(a.Identity.Fingerprint)
 }
 
 // endIsolation ends the isolation of a request and resumes the legs that waited for it.
@@ -130,17 +134,15 @@
 func (s *System) updateSuspicion(now time.Time, a *Attempt, e event.ExchangeEnded) {
 	if a.WasIsolated {
 		a.Server.IsolatedAttempts--
-		if entry := s.Suspects.Get(now, a.Fingerprint); entry != nil {
-			entry.InFlight = max(0, entry.InFlight-1)
-		}
+		s.Suspects.EndIsolated(a.Identity.Fingerprint)
 	}
 	switch {
 	case e.Kind == event.Answered:
-		if update, ok := s.Suspects.Clear(now, a.Fingerprint); ok {
+		for _, update := range s.Suspects.Clear(now, a.Identity) {
 			s.announceSuspicion(update, "answered by "+string(a.Server.ID))
 		}
 	case e.Kind == event.Died && !a.Cancelled:
-		a.Server.ConnectionBroke(now, a.Fingerprint, a.WasIsolated)
+		a.Server.ConnectionBroke(now, a.Identity, a.WasIsolated)
 		s.check(a.Server)
 	}
 }
@@ -181,10 +183,10 @@
 // the new state of its fingerprint, if it changed.
 func (s *System) attributeCrash(now time.Time, b *roster.Server, broken roster.Broken) {
 	before := event.SuspicionCleared
-	if e := s.Suspects.Get(now, broken.Fingerprint); e != nil {
+	if e := s.Suspects.Get(now, broken.Identity); e != nil {
 		before = e.State
 	}
-	update := s.Suspects.RecordCrash(now, broken.Fingerprint, broken.WasIsolated)
+	update := s.Suspects.RecordCrash(now, broken.Identity, broken.WasIsolated)
 	if update.State == before || before == event.SuspicionCondemned {
 		return
 	}
@@ -199,5 +201,5 @@
 // announceSuspicion sends the state of a fingerprint to the other instances and logs it.
 func (s *System) announceSuspicion(update event.Suspicion, cause string) {
 	s.Broadcaster.Broadcast(event.Message{Suspects: &update})
-	s.Out.Emit(event.StateChanged{Kind: "fingerprint", Name: update.Fingerprint.String(), To: update.State.String(), Cause: cause})
+	s.Out.Emit(event.StateChanged{Kind: "fingerprint", Name: update.Fingerprint.String(), To: update.State.String(), Cause: fmt.Sprintf("%s, recognized by %d headers", cause, len(update.Traits))})
 }
--- a/core/relay/suspect_test.go
+++ b/core/relay/suspect_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -59,6 +60,42 @@
 	}
 }
 
+// TestCrashingRequestWithChangingHeaderIsCondemned guards against a request that crashes servers and has
+// a header of its own each time, for example of tracing, and so is never recognized. From its third
+// time on it reaches no server. Requests of another caller for the same, which crash no server, are
+// answered all the while.
+func TestCrashingRequestWithChangingHeaderIsCondemned(t *testing.T) {
+	const crashing = 7
+	single := gatherRoute()
+	single.LeastCoverage = 0
+	for name, route := range map[string]model.Route{"gathering": gatherRoute(), "single": single} {
+		for seed := uint64(40); seed < 45; seed++ {
+			w := newSimulation(seed, 10, route)
+			w.crashing = crashing
+			w.sendLoad(45, 2*time.Second)
+			crashingRequests, others := map[event.QueryID]int{}, map[event.QueryID]bool{}
+			for n := range 30 {
+				id := w.sendWithFingerprint(crashing, "User-Agent:desk", "Cookie:a", fmt.Sprint("Traceparent:", n))
+				crashingRequests[id] = n
+				w.sendLoad(45, 100*ms)
+				// This caller's requests don't crash servers.
+				others[w.sendLike(crashing+1, crashing, "User-Agent:desk", "Cookie:b", fmt.Sprint("Traceparent:b", n))] = true
+				w.sendLoad(45, 200*ms)
+			}
+			w.run(3 * time.Second)
+			for _, r := range w.results {
+				n, isCrashing := crashingRequests[r.id]
+				switch {
+				case isCrashing && n >= 2 && (r.refusal != event.RefusePoison || r.outcome != event.OutcomeNotRun || w.executionCount(r.id) > 0):
+					t.Errorf("%s, seed %d, crashing request number %d: got %q, %q with %d executions, want a refusal as not run", name, seed, n, r.refusal, r.outcome, w.executionCount(r.id))
+				case others[r.id] && r.refusal != "":
+					t.Errorf("%s, seed %d, request %d of another caller: refused, %s", name, seed, r.id, r.refusal)
+				}
+			}
+		}
+	}
+}
+
 // TestBystandersOfCrashesAreNotCondemned checks that requests that happen to be in flight when
 // servers crash are not condemned. Two servers crash at random times in each 400 ms, with
 // many requests of only five fingerprints in flight.
--- a/core/roster/crash.go
+++ b/core/roster/crash.go
@@ -16,7 +16,7 @@
 
 // Broken is an exchange whose connection broke while the server may have been executing it.
 type Broken struct {
-	Fingerprint model.Fingerprint
+	model.Identity
 	// WasIsolated is set if the request was suspected of crashing servers and was isolated: it
 	// was executed by this server only, with no other isolated request.
 	WasIsolated bool
@@ -24,8 +24,8 @@
 }
 
 // ConnectionBroke records that the connection of an exchange broke before a reply.
-func (h *Health) ConnectionBroke(now time.Time, f model.Fingerprint, isolated bool) {
-	h.broken = append(h.broken, Broken{Fingerprint: f, WasIsolated: isolated, at: now})
+func (h *Health) ConnectionBroke(now time.Time, id model.Identity, isolated bool) {
+	h.broken = append(h.broken, Broken{Identity: id, WasIsolated: isolated, at: now})
 	if len(h.broken) > maxBroken {
 		h.broken = h.broken[1:]
 	}
--- a/io/pass/callers.go
+++ b/io/pass/callers.go
@@ -111,9 +111,10 @@
 		Method: r.Method, Target: r.RequestURI, Host: r.Host,
 		Header: endToEndHeaders(r.Header), Body: body, RequestID: r.Header.Get(f.names.Request),
 	}
+	id := f.identity(raw)
 	routed = event.RoutedRequest{
-		RequestID: raw.RequestID, Host: normalizeHost(r.Host), Path: pathOf(r.RequestURI), Fingerprint: f.fingerprint(raw),
-		NetworkTime: networkTime(r.Context()),
+		RequestID: raw.RequestID, Host: normalizeHost(r.Host), Path: pathOf(r.RequestURI),
+		Fingerprint: id.Fingerprint, Traits: id.Traits, NetworkTime: networkTime(r.Context()),
 	}
 	if text := r.Header.Get(f.names.CallerTimeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -138,23 +139,22 @@
 	return n
 }
 
-// fingerprint identifies a request by everything that is relayed to servers, except for
-// the request ID and the timeout, which differ from one retry to the next. The headers
-// that identify the caller are included.
-func (f *CallerHandler) fingerprint(r *Request) model.Fingerprint {
-	var head strings.Builder
-	for _, part := range []string{r.Method, r.Host, r.Target} {
-		head.WriteString(part + "\n")
-	}
-	for _, name := range sortedNames(r.Header) {
+// identity returns what a request is recognized by when it comes again: its method, host, target
+// and body, and all headers that are relayed, except for the request ID and the timeout, which
+// differ from one retry to the next.
+func (f *CallerHandler) identity(r *Request) (id model.Identity) {
+	id.Fingerprint = model.FingerprintOf(strings.Join([]string{r.Method, normalizeHost(r.Host), originForm(r.Target)}, "\n"), r.Body)
+	var headers []string
+	for name, values := range r.Header {
 		if name == f.requestHeader || name == f.timeoutHeader {
 			continue
 		}
-		for _, value := range r.Header[name] {
-			head.WriteString(name + ":" + value + "\n")
+		for _, value := range values {
+			headers = append(headers, name+":"+value)
 		}
 	}
-	return model.FingerprintOf(head.String(), r.Body)
+	id.Traits = model.NewTraits(headers)
+	return id
 }
 
 // maxTimeout limits the timeout that a caller gives.
@@ -170,6 +170,12 @@
 
 // pathOf returns the path of a request target, without the query string.
 func pathOf(target string) string {
+	path, _, _ := strings.Cut(originForm(target), "?")
+	return path
+}
+
+// originForm returns a request target without a scheme and authority.
+func originForm(target string) string {
 	if rest, ok := strings.CutPrefix(target, "http://"); ok {
 		if i := strings.IndexByte(rest, '/'); i >= 0 {
 			target = rest[i:]
@@ -177,8 +183,7 @@
 			target = "/"
 		}
 	}
-	path, _, _ := strings.Cut(target, "?")
-	return path
+	return target
 }
 
 // writeAnswer writes a server's reply unchanged, or a merged answer.
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -436,28 +436,40 @@
 	}
 }
 
-// TestFingerprintIgnoresRequestIDAndTimeout checks that requests have the same fingerprint
-// exactly if they differ in nothing but their ID and timeout.
-func TestFingerprintIgnoresRequestIDAndTimeout(t *testing.T) {
+// TestIdentityOfRequests checks by what a request is recognized when it comes again: the fingerprint is
+// the same exactly if method, host, target and body are, and the traits if all headers but the request
+// ID and the timeout are.
+func TestIdentityOfRequests(t *testing.T) {
 	const head = " /a?q=1 HTTP/1.1\r\nHost: h.example\r\n"
-	fingerprint := func(request string) model.Fingerprint {
+	identity := func(request string) model.Identity {
 		a := &fakeExecutor{answer: event.RoutedAnswer{Relayed: &event.Reply{Status: 200}}}
 		roundTrip(t, a, request)
-		return a.routed.Fingerprint
+		return a.routed.Identity()
 	}
-	first := fingerprint("GET" + head + "X-Request: r1\r\nX-Patience: 50\r\nX-User: u\r\n\r\n")
+	first := identity("GET" + head + "X-Request: r1\r\nX-Patience: 50\r\nX-User: u\r\n\r\n")
 	tests := []struct {
-		name, request string
-		same          bool
+		name, request                    string
+		sameFingerprint, sameTraits, all bool
 	}{
-		{"retry", "GET" + head + "X-User: u\r\nX-Request: r2\r\nX-Patience: 40\r\n\r\n", true},
-		{"another caller", "GET" + head + "X-Request: r1\r\nX-User: v\r\n\r\n", false},
-		{"another method", "PUT" + head + "X-Request: r1\r\nX-User: u\r\n\r\n", false},
-		{"another body", "GET" + head + "X-User: u\r\nContent-Length: 1\r\n\r\nx", false},
+		{"retry", "GET" + head + "X-User: u\r\nX-Request: r2\r\nX-Patience: 40\r\n\r\n", true, true, true},
+		{"host and target in other forms", "GET http://h.example/a?q=1 HTTP/1.1\r\nHost: H.Example:80\r\nX-User: u\r\n\r\n", true, true, true},
+		{"one more header", "GET" + head + "X-User: u\r\nTraceparent: 1\r\n\r\n", true, false, true},
+		{"another caller", "GET" + head + "X-Request: r1\r\nX-User: v\r\n\r\n", true, false, false},
+		{"another method", "PUT" + head + "X-Request: r1\r\nX-User: u\r\n\r\n", false, true, true},
+		{"another host", "GET /a?q=1 HTTP/1.1\r\nHost: i.example\r\nX-User: u\r\n\r\n", false, true, true},
+		{"another query", "GET /a?q=2 HTTP/1.1\r\nHost: h.example\r\nX-User: u\r\n\r\n", false, true, true},
+		{"another body", "GET" + head + "X-User: u\r\nContent-Length: 1\r\n\r\nx", false, true, true},
 	}
 	for _, test := range tests {
-		if got := fingerprint(test.request) == first; got != test.same {
-			t.Errorf("%s has the same fingerprint: got %t, want %t", test.name, got, test.same)
+		got := identity(test.request)
+		if same := got.Fingerprint == first.Fingerprint; same != test.sameFingerprint {
+			t.Errorf("%s: same fingerprint: got %t, want %t", test.name, same, test.sameFingerprint)
+		}
+		if same := slices.Equal(got.Traits, first.Traits); same != test.sameTraits {
+			t.Errorf("%s: same traits: got %t, want %t", test.name, same, test.sameTraits)
+		}
+		if all := first.Traits.Within(got.Traits); all != test.all {
+			t.Errorf("%s: all traits of the first request: got %t, want %t", test.name, all, test.all)
 		}
 	}
 }
