Settings: a reload applies changed seeds

Cause: seeds were read at the start only; the reload reported needs-restart and went on.

Ruled out: a file that isn't read or is rejected (settings-reloaded is logged).

Change: a reload sets the seeds, dials them, and gives up those that are no longer named. The log line names them.

--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -234,6 +234,10 @@
 	}
 }
 
+// SetExpectedInstances sets the number of instances that the settings let this one expect. The next
+// periodic work applies it.
+func (e *Engine) SetExpectedInstances(n int) { e.expectedInstances = n }
+
 // reportShares logs a change of the number of instances among which budgets are divided.
 func (e *Engine) reportShares() {
 	if e.shares == e.reportedShares {
--- a/io/node/commands.go
+++ b/io/node/commands.go
@@ -42,6 +42,7 @@
 		// connects again.
 		_ = n.peers.Send(c.To, c.Message)
 	case event.LinkPeers:
+		n.linkPeers = c
 		n.peers.SetPeers(n.ctx, n.addresses(c))
 	case event.FetchParts:
 		for _, d := range c.Digests {
@@ -88,7 +89,7 @@
 // addresses returns the control addresses of the instances to connect to.
 func (n *Node) addresses(c event.LinkPeers) (out []string) {
 	if c.DialSeeds {
-		out = append(out, n.settings.Seeds...)
+		out = append(out, n.seeds...)
 	}
 	for _, p := range c.Peers {
 		out = append(out, p.Address)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -95,6 +95,10 @@
 	callers *connTracker
 	// shutdown holds the shutdown settings, which may be reloaded.
 	shutdown atomic.Pointer[setup.Shutdown]
+	// seeds holds the seeds of the settings, which may be reloaded, and linkPeers the last
+	// command on links. Only the loop uses them once it runs.
+	seeds     []string
+	linkPeers event.LinkPeers
 
 	waiters *waiters[waiter]
 	// background tracks the goroutines that execute commands.
@@ -198,6 +202,8 @@
 		listener: d.Listener, control: d.Control, stats: stats.New(), callers: newConnTracker(),
 	}
 	n.shutdown.Store(&s.Shutdown)
+	// Seeds are dialed until the engine decides.
+	n.seeds, n.linkPeers = s.Seeds, event.LinkPeers{DialSeeds: true}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.peers = peer.NewHub(n.self, n)
 	if n.backend == nil {
@@ -333,7 +339,7 @@
 // Leaving implements front.Executor.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
-// Reload applies changed settings. Retry budgets, regions and the shutdown settings
+// Reload applies changed settings. Seeds, retry budgets, regions and the shutdown settings
 // change at once. All other changes take effect only after a restart, which the log line
 // reports as needs-restart. Settings that can't be read, that belong to another instance,
 // or that switch routed requests on or off, are rejected.
@@ -348,15 +354,20 @@
 	}
 	n.View(func(e *engine.Engine) {
 		n.shutdown.Store(&s.Shutdown)
+		n.seeds = s.Seeds
+		n.peers.SetPeers(n.ctx, n.addresses(n.linkPeers))
 		if e.Relay != nil {
 			e.Relay.Options = relayOptions(s)
+			e.SetExpectedInstances(expectedInstances(s.Seeds, n.self.Address))
 		}
 	})
 	// restartOnly differs from the settings in use only by what needs a restart.
 	restartOnly := s
+	restartOnly.Seeds = n.settings.Seeds
 	restartOnly.Shutdown, restartOnly.Routed.Regions = n.settings.Shutdown, n.settings.Routed.Regions
 	restartOnly.Routed.RetryRatio, restartOnly.Routed.RetrySlack, restartOnly.Routed.RetryWindow = n.settings.Routed.RetryRatio, n.settings.Routed.RetrySlack, n.settings.Routed.RetryWindow
-	n.log.Info().Str("instance", string(n.self.ID)).Bool("needs-restart", !reflect.DeepEqual(restartOnly, n.settings)).Msg("settings-reloaded")
+	n.log.Info().Str("instance", string(n.self.ID)).
+		Strs("seeds", s.Seeds).Bool("needs-restart", !reflect.DeepEqual(restartOnly, n.settings)).Msg("settings-reloaded")
 }
 
 // relayOptions returns the options of routed requests that the settings give.
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -49,7 +49,7 @@
 		ConnState: n.callers.setState,
 	}
 	control := &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	n.peers.SetPeers(n.ctx, n.settings.Seeds)
+	n.peers.SetPeers(n.ctx, n.addresses(n.linkPeers))
 
 	var group run.Group
 	n.addLoop(&group, n.loop)
