Backends: a reply that names no request rejects none

Cause: bytes without a request ID, on a connection whose replies name their requests, counted as no answer, but as a rejection if they had the header of one or status 421. The request that was running there was sent to another server; after a 421 the server counted as gone, too.

Change: on such a connection a reply without a name says nothing, whatever it holds: no answer, no rejection, no limit, no notice. The first reply on a connection may be unnamed.

Other paths that read replies: declared servers' replies carry an identity and a digest (io/back), the store's calls use connections of net/http, which gives up one with unexpected bytes.

Tests: TestUnnamedRejectionIsNoRejection failed before in all four forms.

--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -136,8 +136,14 @@
 		return end
 	}
 	b.evaluate(&end, r, reply, body)
-	if named := reply.Header.Get(b.names.Request) != ""; !named && conn.namesRequests && end.Kind == event.Answered {
-		end.Kind, end.Reply, end.Detail = event.BadReply, nil, "the reply names no request, unlike earlier ones on the connection"
+	if named := reply.Header.Get(b.names.Request) != ""; !named && conn.namesRequests {
+		// Bytes that a server sends after an earlier reply look like this one's. They say nothing
+		// about this request, and nothing about the server: neither that it didn't run the
+		// request nor that another one has its address.
+		end = event.ExchangeEnded{
+			Attempt: c.Attempt, Server: c.Server, Kind: event.BadReply,
+			Detail: fmt.Sprintf("the reply with status %d names no request, unlike earlier ones on the connection", reply.StatusCode),
+		}
 	} else if named {
 		conn.namesRequests = true
 	}
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -300,6 +300,39 @@
 	}
 }
 
+// TestUnnamedRejectionIsNoRejection guards against a request that runs twice because bytes that name no
+// request, where its reply is due, pass for its rejection: on a connection whose replies name their
+// requests, such a reply says neither that the request didn't run nor that the server is another one.
+// As the first reply on a connection it does, since nothing was sent there before.
+func TestUnnamedRejectionIsNoRejection(t *testing.T) {
+	for name, rejection := range map[string]string{
+		"not run":                   "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"not run, with all notices": "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\nRetry-After: 3\r\nServer-Limit: 1\r\nContent-Length: 0\r\n\r\n",
+		"429":                       "HTTP/1.1 429 Too Many Requests\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"another server":            "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawServer(t, func(n int, r *http.Request) string {
+				if n == 1 {
+					return okReply(r, "one")
+				}
+				return rejection
+			})
+			b := pass.NewBackendClient(systemClock{}, names)
+			defer b.Close()
+			exchange(b, address, "r1", 1)
+			got := exchange(b, address, "r2", 2)
+			if got.Kind != event.BadReply || got.Notice != (event.Notice{}) || got.Limit != (event.RateLimit{}) {
+				t.Errorf("after an earlier reply: got %+v, want a bad reply that says nothing of the server", got)
+			}
+			// The connection was given up, so that this is the first reply on another one.
+			if got := exchange(b, address, "r3", 3); got.Kind != event.Refused {
+				t.Errorf("first reply on a connection: got %v (%s), want %v", got.Kind, got.Detail, event.Refused)
+			}
+		})
+	}
+}
+
 // TestConnectionsAreReused checks that consecutive requests share one connection.
 func TestConnectionsAreReused(t *testing.T) {
 	address, connections := rawServer(t, func(_ int, r *http.Request) string { return okReply(r, "yes") })
