Backends: targets go out as they came

Cause: url.URL.Opaque, before which net/http puts the scheme if it begins with two slashes. The client writes the request itself now. "OPTIONS *" was answered by net/http with a success of our own; the callers' server has that switched off.

--- a/io/node/run.go
+++ b/io/node/run.go
@@ -47,6 +47,8 @@
 	callers := &http.Server{
 		Handler: n.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: pass.ConnContext,
 		ConnState: n.callers.setState,
+		// Otherwise net/http answers "OPTIONS *" itself.
+		DisableGeneralOptionsHandler: true,
 	}
 	control := &http.Server{Handler: n.controlHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.peers.SetPeers(n.ctx, n.addresses(n.linkPeers))
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -188,14 +188,13 @@
 
 // exchange writes the request and reads the reply.
 func (b *BackendClient) exchange(conn *conn, c event.SendExchange, r *Request) (reply *http.Response, body []byte, err error) {
-	out := b.newRequest(c, r)
-	if err := out.Write(conn); err != nil {
+	if err := b.writeRequest(conn, c, r); err != nil {
 		return nil, nil, errors.Wrap(err, "write request")
 	}
 	conn.limitReads(maxHeadBytes)
 	defer conn.limitReads(0)
 	for {
-		reply, err = http.ReadResponse(conn.reader, out)
+		reply, err = http.ReadResponse(conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, nil, wrapReadError(err, "read reply")
 		}
@@ -262,27 +261,31 @@
 	return malformedError{errors.Wrap(err, step)}
 }
 
-// newRequest returns the request to write to a server.
-func (b *BackendClient) newRequest(c event.SendExchange, r *Request) *http.Request {
+// writeRequest writes a request to a server. The target is written as the caller wrote it: net/http
+// would add a scheme to one that begins with two slashes.
+func (b *BackendClient) writeRequest(w io.Writer, c event.SendExchange, r *Request) error {
 	h := r.Header.Clone()
 	timeLeft := max(1, c.Deadline.Sub(b.clock.Now()).Milliseconds())
 	h.Set(b.names.CallerTimeout, strconv.FormatInt(timeLeft, 10))
 	h.Set(b.names.ExpectServer, string(c.Server))
-	if len(h["User-Agent"]) == 0 {
-		// An empty value keeps net/http from adding its own User-Agent.
-		h["User-Agent"] = []string{""}
+	if len(r.Body) > 0 || slices.Contains(methodsWithBody, r.Method) {
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	out := &http.Request{
-		Method: r.Method, Host: r.Host, Header: h,
-		URL: &url.URL{Scheme: "http", Host: c.Address, Opaque: r.Target},
+	h.Del("Host")
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if err := h.Write(&out); err != nil {
+		return err
 	}
-	if len(r.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.Body))
-		out.ContentLength = int64(len(r.Body))
-	}
-	return out
+	out.WriteString("\r\n")
+	out.Write(r.Body)
+	_, err := w.Write(out.Bytes())
+	return err
 }
 
+// methodsWithBody are the methods whose requests state a length even if the body is empty.
+var methodsWithBody = []string{http.MethodPost, http.MethodPut, http.MethodPatch}
+
 // evaluate sets the result of an exchange from a complete reply.
 func (b *BackendClient) evaluate(end *event.ExchangeEnded, r *Request, reply *http.Response, body []byte) {
 	h := reply.Header
