Retry budget: an instance that starts again gets its slack with time

Cause: each start took its part of the slack anew, and its predecessor's attempts are in the same window.

Change: the slack is available in proportion to the time since the start.

Tests: TestInstancesThatStartAgainShareTheRetrySlack failed before with 51 extra attempts, 42 allowed.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -136,7 +136,7 @@
 		e.Relay = &relay.System{
 			Self: self, Options: *o.Relay, Servers: e.Roster, Out: e,
 			Rand:     rand.New(rand.NewPCG(o.Seed+1, uint64(self.Incarnation))),
-			Suspects: e.Suspects, Broadcaster: e,
+			Suspects: e.Suspects, Broadcaster: e, StartedAt: now,
 		}
 		e.Relay.Init()
 	}
--- a/core/engine/shares_test.go
+++ b/core/engine/shares_test.go
@@ -199,3 +199,35 @@
 		}
 	}
 }
+
+// TestInstancesThatStartAgainShareTheRetrySlack guards against instances that start again and again and take
+// their part of the slack of a retry budget anew each time.
+func TestInstancesThatStartAgainShareTheRetrySlack(t *testing.T) {
+	t.Parallel()
+	f := newLimitedFleet(13, 4)
+	f.even, f.expected = true, 4
+	f.load(10, 4*time.Second)
+	// So slow that each attempt is hedged.
+	for _, s := range f.servers {
+		s.serviceTime = 150 * time.Millisecond
+	}
+	from, sent := f.now, int(f.lastID)
+	for i := range 20 {
+		// Two of four at a time; the others have the directory.
+		for _, id := range f.ids[2*(i%2) : 2*(i%2)+2] {
+			f.kill(f.nodes[id])
+			f.start(f.nodes[id])
+		}
+		f.load(10, 500*time.Millisecond)
+	}
+	requests, arrivals := int(f.lastID)-sent, 0
+	for _, s := range f.servers {
+		arrivals += s.arrivalsIn(from, f.now)
+	}
+	// The options of these instances.
+	const ratio, slack = 0.2, 20
+	t.Logf("%d extra attempts for %d requests", arrivals-requests, requests)
+	if got, want := arrivals-requests, int(ratio*float64(requests))+slack; got > want {
+		t.Errorf("extra attempts in 10s: got %d for %d requests, want at most %d", got, requests, want)
+	}
+}
--- a/core/relay/budget.go
+++ b/core/relay/budget.go
@@ -16,8 +16,8 @@
 	// budgetBuckets is the number of buckets that the window is divided into; attempts
 	// expire one bucket at a time.
 	budgetBuckets = 20
-	// slackFraction is the fraction of its share of the slack that an instance uses,
-	// because a restarted instance doesn't know its earlier extra attempts.
+	// slackFraction is the fraction of its share of the slack that an instance uses, because
+	// instances learn late that others have joined.
 	slackFraction = 0.5
 	// ratioFraction is the fraction of the ratio that is used, because servers may count
 	// attempts at the edge of a window in the adjacent window.
@@ -87,7 +87,13 @@
 func (s *System) budgetAllows(now time.Time, group string, fraction float64) bool {
 	first, extra := s.budget(now, group).totals()
 	r := s.Options.Retries
-	limit := r.Ratio*ratioFraction*float64(first) + r.Slack*slackFraction/float64(s.members.Shares)
+	// An instance that starts again doesn't know what its predecessor used up: the slack is
+	// available in proportion to the time since the start.
+	slack := r.Slack * slackFraction / float64(s.members.Shares)
+	if age := now.Sub(s.StartedAt); age < r.Window {
+		slack *= max(0, float64(age)/float64(r.Window))
+	}
+	limit := r.Ratio*ratioFraction*float64(first) + slack
 	return float64(extra+1) <= fraction*limit
 }
 
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -49,6 +49,8 @@
 	Suspects    *poison.Table
 	Broadcaster Broadcaster
 	Counters    Counters
+	// StartedAt is when the instance started.
+	StartedAt time.Time
 
 	table         *model.RoutingTable
 	instanceCount int
