--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -83,8 +83,8 @@
 	// the settings tell. assumedInstances is that number while the members are not known yet,
 	// and zero later.
 	expectedInstances, assumedInstances int
-	// shares is the number of instances among which that is divided what all of them may do
-	// together. linkedOnce is set once this instance has had a link to a peer, and settled
+	// shares is the number of instances among which the budgets that all of them have in common
+	// are divided. linkedOnce is set once this instance has had a link to a peer, and settled
 	// once it has had one or has waited long enough.
 	shares              int
 	linkedOnce, settled bool
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -40,9 +40,9 @@
 	// old updates of it don't count as new.
 	deadTTL = 10 * time.Minute
 	// reservationTime is the time for which an instance that is no longer live keeps its share of
-	// what all instances may do together. It may only be cut off, or have started again, and
-	// what it did before counts for the window of a budget. It covers a cut between data
-	// centres of a quarter of a minute and a window of ten seconds after it.
+	// the common budgets. It may be cut off from this instance only, or start again, and what
+	// it has sent stays in the window of a budget. It covers a cut of a quarter of a minute
+	// and a window of ten seconds after it.
 	reservationTime = 30 * time.Second
 	// minRingSize is the number of instances from which on they link along a ring. In a
 	// smaller deployment every instance links to all others.
@@ -137,8 +137,8 @@
 	return out
 }
 
-// Shares returns the number of instances among which that is divided what all of them may do
-// together, this one included: the live ones, and those that ended within the reservation time.
+// Shares returns the number of instances that have a share of the common budgets, this one included:
+// the live ones, and those that ended within the reservation time.
 func (v *View) Shares(now time.Time) (n int) {
 	for _, m := range v.members {
 		if m.IsLive() || m.ID == v.Self.ID || now.Sub(m.Since) < reservationTime {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -122,9 +122,9 @@
 	// connections of servers; if there are fewer than AtLeast, that number of them is assumed.
 	Live    []model.InstanceID
 	AtLeast int
-	// Shares is the number of instances among which that is divided what all of them may do
-	// together: the slack of retry budgets, the rates of cold servers and rate limits. It is at
-	// least the number of live instances, since others may be alive that this one doesn't see.
+	// Shares is the number of instances among which common budgets are divided: the slack of retry
+	// budgets, the rates of cold servers and rate limits. It is at least the number of live
+	// instances, since others may be alive that this one doesn't see.
 	Shares int
 	// Settled is false while the instance has just started and has had no link to a peer.
 	Settled bool
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -83,12 +83,9 @@
 // it has stopped.
 func startInstance(t *testing.T, s *slowServer, shutdown setup.Shutdown) (address string, stop func(), stopped <-chan struct{}) {
 	t.Helper()
-	settings := setup.Default()
-	settings.Instance, settings.DataCentre = "i0", "dc0"
-	settings.Listen, settings.Control, settings.Store = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1"
+	settings := instanceSettings("i0")
 	settings.Shutdown = shutdown
-	settings.Routed.Enabled = true
-	directory := fixedDirectory{
+	n, stop, stopped := runInstance(t, settings, fixedDirectory{
 		{Key: "config", Routing: &model.RoutingTable{Version: 1, Routes: []model.Route{{
 			Name: "order", Host: "desk", Prefix: "/", Timeout: 20 * time.Second, Target: 500 * time.Millisecond, Attempts: 1,
 			Shares: []model.Share{{Group: "g", Weight: 1}},
@@ -96,8 +93,27 @@
 		{Key: "servers/s0", Server: &model.Registration{
 			ID: "s0", Life: "1", Address: s.Listener.Addr().String(), DataCentre: "dc0", Group: "g", Slots: 100,
 		}},
-	}
-	n, err := node.New(settings, node.Dependencies{Log: &log.Logger{Level: log.ErrorLevel}, Platform: &node.Platform{Directory: directory, HeaderNames: headerNames}})
+	})
+	return n.Address(), stop, stopped
+}
+
+// instanceSettings returns the settings of an instance that relays requests, listens on ports that the
+// system chooses, and knows the given seeds.
+func instanceSettings(id model.InstanceID, seeds ...string) setup.Settings {
+	s := setup.Default()
+	s.Instance, s.DataCentre, s.Seeds = id, "dc0", seeds
+	s.Listen, s.Control, s.Store = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1"
+	s.Shutdown = setup.Shutdown{}
+	s.Routed.Enabled = true
+	return s
+}
+
+// runInstance runs an instance until stop is called or the test ends.
+func runInstance(t *testing.T, s setup.Settings, directory fixedDirectory) (n *node.Node, stop func(), stopped <-chan struct{}) {
+	t.Helper()
+	n, err := node.New(s, node.Dependencies{
+		Log: &log.Logger{Level: log.ErrorLevel}, Platform: &node.Platform{Directory: directory, HeaderNames: headerNames},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,11 +122,11 @@
 	go func() {
 		defer close(done)
 		if err := n.Run(ctx); err != nil {
-			t.Errorf("the instance ended with %v", err)
+			t.Errorf("instance %s ended with %v", s.Instance, err)
 		}
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return n.Address(), cancel, done
+	return n, cancel, done
 }
 
 // caller has one connection to an instance.
