--- a/review/_stage/store.go
+++ b/review/_stage/store.go
@@ -73,6 +73,13 @@
 
 func (s *store) remove(key string) time.Time { return s.write(item{key: key, removed: true}) }
 
+// size returns the length of the value of a key in bytes.
+func (s *store) size(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.items[key].value)
+}
+
 func (s *store) write(i item) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
