--- a/review/_stage/case7.go
+++ b/review/_stage/case7.go
@@ -13,8 +13,8 @@
 
 const (
 	// The bounds of the site file.
-	configApply  = 4 * time.Second
-	stableWindow = 5 * time.Second
+	configApply  = 3 * time.Second
+	stableWindow = 4 * time.Second
 	storeHistory = 20 * time.Second
 	// The disruption: the cut, and the changes of the configuration meanwhile.
 	cutFor    = 5500 * time.Millisecond
@@ -26,8 +26,9 @@
 // bigWatch: the configuration has grown by many routes. The one machine that is left is cut off from the
 // store while the configuration changes in quick succession. Once it is in touch again, it must follow.
 func bigWatch(r *record, trouble bool) bool {
+	zones = pspbaZones
 	st := newStore(storeHistory)
-	services := []string{"care-notes", "roster-sync"}
+	services := []string{"post-register", "council-feed"}
 	var mu sync.Mutex
 	ranAt := map[string]string{}
 	for _, service := range services {
@@ -49,15 +50,15 @@
 	// acknowledgement.
 	put := func(service string) time.Time {
 		version++
-		routes := []map[string]any{route("r-note", "/note/", service)}
+		routes := []map[string]any{route("r-card", "/card/", service)}
 		for i := range idle {
-			routes = append(routes, route(fmt.Sprintf("r-idle%05d", i), fmt.Sprintf("/idle%05d/", i), "care-notes"))
+			routes = append(routes, route(fmt.Sprintf("r-idle%05d", i), fmt.Sprintf("/idle%05d/", i), "post-register"))
 		}
 		at := st.put("op/config", config(version, routes, services))
 		r.line("version %d of %d routes and %d bytes is acknowledged, the route goes to %s", version, len(routes), st.size("op/config"), service)
 		return at
 	}
-	put("care-notes")
+	put("post-register")
 	var proxies []*proxy
 	d := newDeployment(4, func(int) string {
 		p := newProxy(st.address())
@@ -68,7 +69,7 @@
 	time.Sleep(2 * time.Second)
 	for range 5 {
 		idle += 350
-		put("care-notes")
+		put("post-register")
 		time.Sleep(time.Second)
 	}
 	last := d.instances[2]
@@ -93,7 +94,7 @@
 	}
 	var acknowledged time.Time
 	for begin := time.Now(); time.Since(begin) < stormFor; time.Sleep(stormGap) {
-		acknowledged = put("roster-sync")
+		acknowledged = put("council-feed")
 	}
 	due := acknowledged.Add(configApply)
 	if inTouch.After(due) {
@@ -104,7 +105,7 @@
 	counted, stale := 0, 0
 	for n := 0; time.Now().Before(stop); n++ {
 		id := fmt.Sprintf("%08x%08x", n, rand.Uint32())
-		q, err := http.NewRequest(http.MethodGet, "http://"+last.front+"/note/"+id, nil)
+		q, err := http.NewRequest(http.MethodGet, "http://"+last.front+"/card/"+id, nil)
 		if err != nil {
 			fatal("%v", err)
 		}
@@ -124,7 +125,7 @@
 		note := ""
 		if sent.After(due) {
 			counted++
-			if service == "care-notes" {
+			if service == "post-register" {
 				stale++
 				note = fmt.Sprintf(", %.1f s after the acknowledgement of version %d: only older versions allow it", sent.Sub(acknowledged).Seconds(), version)
 			}
--- a/review/_stage/world.go
+++ b/review/_stage/world.go
@@ -38,17 +38,23 @@
 	return ""
 }
 
-// zone is a zone of the site kowhai-rides, with its region and the limits of its machines.
+// zone is a zone of a site, with its region and the limits of its machines.
 type zone struct {
 	name, region string
 	memoryMB     int
 	fds          int
 }
 
+// zones holds the zones of the machines of a case. These are those of the site kowhai-rides.
 var zones = []zone{
 	{"akl-west", "akl", 414, 6150}, {"wlg-hutt", "wlg", 804, 12300}, {"chc-north", "chc", 284, 4100}, {"akl-west", "akl", 414, 6150},
 }
 
+// pspbaZones are those of the site pspba-hyssop.
+var pspbaZones = []zone{
+	{"kingston-a", "surrey", 414, 6150}, {"mandeville-a", "middlesex", 544, 8200}, {"montego-a", "cornwall", 284, 4100}, {"kingston-a", "surrey", 414, 6150},
+}
+
 // instance is a process of hyssoppitch.
 type instance struct {
 	name                           string
@@ -98,7 +104,7 @@
 			"shutdown": map[string]string{"grace": "6s", "lag": "3s", "drain": "3s"},
 			"routed": map[string]any{
 				"enabled": true, "ready": in.ready, "regions": regions, "spill": true,
-				"retry-ratio": 0.2, "retry-slack": 54, "retry-window": "10s",
+				"retry-ratio": 0.2, "retry-slack": 52, "retry-window": "10s",
 			},
 		}, "", "  ")
 		if err != nil {
