--- a/review/_stage/case7.go
+++ b/review/_stage/case7.go
@@ -26,7 +26,7 @@
 // bigWatch: the configuration has grown by many routes. The one machine that is left is cut off from the
 // store while the configuration changes in quick succession. Once it is in touch again, it must follow.
 func bigWatch(r *record, trouble bool) bool {
-	zones = pspbaZones
+	zones, retrySlack = pspbaZones, 52
 	st := newStore(storeHistory)
 	services := []string{"post-register", "council-feed"}
 	var mu sync.Mutex
