--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -38,6 +39,9 @@
 	pollInterval = 100 * time.Millisecond
 	// callTimeout limits one call to an instance.
 	callTimeout = 2 * time.Second
+	// maxReplyBytes is the maximum size of the reply of an instance. Its status has some hundred bytes for each
+	// instance and server.
+	maxReplyBytes = 16 << 20
 )
 
 // Store is the part of the platform's key-value service that the commands use.
@@ -290,5 +294,10 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(reply.Body).Decode(out)
+	limited := &io.LimitedReader{R: reply.Body, N: maxReplyBytes + 1}
+	err = json.NewDecoder(limited).Decode(out)
+	if limited.N <= 0 {
+		return errors.Newf("the reply has more than %d bytes", maxReplyBytes)
+	}
+	return err
 }
--- a/io/admin/admin_test.go
+++ b/io/admin/admin_test.go
@@ -5,7 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -189,3 +193,30 @@
 		t.Errorf("got version %d %v, want 1", root.Version, err)
 	}
 }
+
+// TestStatusReplyWithoutEnd guards against a command that reads a reply without end into memory, for as long as
+// a call may take.
+func TestStatusReplyWithoutEnd(t *testing.T) {
+	t.Parallel()
+	for _, begin := range []string{`{"version":1,"change":"`, `{"members":[`} {
+		var sent atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			part := []byte(strings.Repeat("{},", 20_000))
+			_, err := w.Write([]byte(begin))
+			for err == nil {
+				var n int
+				n, err = w.Write(part)
+				sent.Add(int64(n))
+			}
+		}))
+		got := admin.Statuses(t.Context(), []string{server.Listener.Addr().String()}, false)
+		server.Close()
+		if len(got) != 1 || got[0].Status != nil || got[0].Error == "" {
+			t.Errorf("%s…: got %+v, want an error", begin, got)
+		}
+		// The kernel and net/http hold some MiB on the way.
+		if got, want := sent.Load(), int64(32<<20); got > want {
+			t.Errorf("%s…: the command took %d bytes, want at most %d", begin, got, want)
+		}
+	}
+}
