Rollo: complete a version only on counted answers

A version that breaks half of its connections was completed when it had few answers: the full stage ended before its counts arrived. The stages raised and full last until their answers are counted.

--- a/core/engine/rollout_test.go
+++ b/core/engine/rollout_test.go
@@ -24,6 +24,8 @@
 	duration time.Duration
 	// behave returns the latency of an answer and whether it is a failure.
 	behave func(newer bool, route string) (latency time.Duration, failed bool)
+	// breaks makes the failures of behave broken connections in place of replies.
+	breaks bool
 	// stopped is a version whose servers have stopped; empty for none.
 	stopped string
 	// faulty is a server whose answers are slow; empty for none.
@@ -160,7 +162,11 @@
 		if failed {
 			reply.Status = 500
 		}
-		if n.starts == starts {
+		switch {
+		case n.starts != starts:
+		case failed && f.breaks:
+			f.tick(n, event.ExchangeEnded{Attempt: c.Attempt, Server: c.Server, Kind: event.Died, Detail: "EOF"})
+		default:
 			f.tick(n, event.ExchangeEnded{Attempt: c.Attempt, Server: c.Server, Kind: event.Answered, Reply: reply})
 		}
 	})
@@ -399,6 +405,40 @@
 	}
 }
 
+// TestBadVersionIsNotAcceptedOnFewAnswers plays short roll-outs of a version that fails half of its requests,
+// in a group that gets few. The failure that it guards against: the version is completed as its bad answers
+// are too few to condemn it early, or are counted too late.
+func TestBadVersionIsNotAcceptedOnFewAnswers(t *testing.T) {
+	t.Parallel()
+	for _, perSecond := range []float64{5, 10, 20, 40} {
+		for _, breaks := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%.0f a second, connections break %t", perSecond, breaks), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(30) {
+					f := newRolloutFleet(t, 4, perSecond)
+					f.rand, f.breaks = rand.New(rand.NewPCG(seed, 11)), breaks
+					f.behave = func(newer bool, _ string) (time.Duration, bool) { return 0, newer && f.rand.Float64() < 0.5 }
+					f.order("v2", 13*time.Second)
+					f.check(t, "v2", model.RolloutRolledBack)
+				}
+			})
+		}
+	}
+}
+
+// TestGoodVersionIsAcceptedDespiteFailures checks that one failure in a hundred answers, of all servers,
+// condemns no version when it gets all requests and nothing can be compared with it any more.
+func TestGoodVersionIsAcceptedDespiteFailures(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(16) {
+		f := newRolloutFleet(t, 4, 40)
+		f.rand = rand.New(rand.NewPCG(seed, 11))
+		f.behave = func(bool, string) (time.Duration, bool) { return 0, f.rand.Float64() < 0.01 }
+		f.order("v2", 13*time.Second)
+		f.check(t, "v2", model.RolloutCompleted)
+	}
+}
+
 // TestRolloutSurvivesFailures plays roll-outs while instances or the store fail. The failures that it
 // guards against: a roll-out that nobody continues, a bad version that is used until the store
 // answers, and two decisions on one order.
--- a/core/rollo/judge.go
+++ b/core/rollo/judge.go
@@ -31,6 +31,9 @@
 	// The same before a larger share, where less evidence suffices: few answers may be all that
 	// there is. Failures are rarer at healthy servers than slow answers.
 	gateFailed, gateSlow = 3, 6
+	// maxFailedShare is the part of its answers that may fail, beyond the expected ones, at a version that is
+	// accepted although they exceed gateFailed: among many answers some fail for other reasons.
+	maxFailedShare = 0.1
 	// If one server's part of bad answers is serverFactor times that of the others with the same
 	// version, which have given minOtherAnswers at least, then badExcess is serverExcess instead: it
 	// must still stop the version before its 50th bad answer.
@@ -135,6 +138,13 @@
 	return part(answersLatest, badLatest, window, latestPrior)
 }
 
+// comparison holds the answers of the version on a route over a time, and how many of them would be bad if
+// it were like the other servers.
+type comparison struct {
+	answers, failed, slow        float64
+	expectedFailed, expectedSlow float64
+}
+
 // Bad returns why the version is bad, or "". excess is the number of bad answers beyond the expected
 // ones that a single spread allows; see Settings.Excess.
 func (j *Judge) Bad(excess float64) (reason string) {
@@ -142,9 +152,9 @@
 		// The fault of a server is not that of its version, up to a limit.
 		excess = max(excess, serverExcess)
 	}
-	return j.check(func(failed, slow, expectedFailed, expectedSlow float64) bool {
-		expected := expectedFailed + expectedSlow
-		return exceeds(failed+slow, expected, excess) || exceeds(failed, expectedFailed, excess) || exceeds(slow, expectedSlow, excess)
+	return j.check(func(c comparison) bool {
+		return exceeds(c.failed+c.slow, c.expectedFailed+c.expectedSlow, excess) ||
+			exceeds(c.failed, c.expectedFailed, excess) || exceeds(c.slow, c.expectedSlow, excess)
 	})
 }
 
@@ -153,8 +163,20 @@
 	if j.oneServer() {
 		return ""
 	}
-	return j.check(func(failed, slow, expectedFailed, expectedSlow float64) bool {
-		return exceeds(failed, expectedFailed, gateFailed) || exceeds(slow, expectedSlow, gateSlow)
+	return j.check(func(c comparison) bool {
+		return exceeds(c.failed, c.expectedFailed, gateFailed) || exceeds(c.slow, c.expectedSlow, gateSlow)
+	})
+}
+
+// Unacceptable returns why a version that gets all requests must not be accepted, or "". No other servers
+// show what is expected at that time, so that slow answers, which many things delay, and single failures
+// among many answers don't tell against it.
+func (j *Judge) Unacceptable() (reason string) {
+	if j.oneServer() {
+		return ""
+	}
+	return j.check(func(c comparison) bool {
+		return exceeds(c.failed, c.expectedFailed, gateFailed) && c.failed-c.expectedFailed >= maxFailedShare*c.answers
 	})
 }
 
@@ -179,23 +201,27 @@
 }
 
 // check returns the first route, and the time, for which f holds.
-func (j *Judge) check(f func(failed, slow, expectedFailed, expectedSlow float64) bool) (reason string) {
+func (j *Judge) check(f func(comparison) bool) (reason string) {
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		v := j.routes[name]
 		last := v.marks[len(v.marks)-1]
 		for _, from := range []mark{v.marks[0], v.before(last.at.Add(-judgeWindow))} {
 			// Counts may be corrected downwards after the loss of an instance.
-			failed := float64(last.new.Failed) - float64(from.new.Failed)
-			slow := float64(last.new.Slow) - float64(from.new.Slow)
-			if !f(failed, slow, last.failed-from.failed, last.slow-from.slow) {
+			c := comparison{
+				answers:        float64(last.new.Answers - min(last.new.Answers, from.new.Answers)),
+				failed:         float64(last.new.Failed) - float64(from.new.Failed),
+				slow:           float64(last.new.Slow) - float64(from.new.Slow),
+				expectedFailed: last.failed - from.failed, expectedSlow: last.slow - from.slow,
+			}
+			if !f(c) {
 				continue
 			}
 			where := "all routes"
 			if name != total {
 				where = fmt.Sprintf("route %q", name)
 			}
-			return fmt.Sprintf("%s: of %d answers %.0f failed, %.0f of them expected, and %.0f slow, %.0f expected", where,
-				last.new.Answers-min(last.new.Answers, from.new.Answers), failed, last.failed-from.failed, slow, last.slow-from.slow)
+			return fmt.Sprintf("%s: of %.0f answers %.0f failed, %.0f of them expected, and %.0f slow, %.0f expected",
+				where, c.answers, c.failed, c.expectedFailed, c.slow, c.expectedSlow)
 		}
 	}
 	return ""
--- a/core/rollo/stage.go
+++ b/core/rollo/stage.go
@@ -38,8 +38,10 @@
 	// for the slack.
 	exposureFraction = 0.8
 	slackFraction    = 0.4
-	// countDelay is the delay of the counts in seconds.
-	countDelay = 1.5
+	// countDelay is how late the counts of the other instances arrive. A stage whose answers must count
+	// lasts that much longer, but no more than settleFraction of a roll-out's time.
+	countDelay     = 1500 * time.Millisecond
+	settleFraction = 0.125
 	// decisionDelay is the assumed time from a bad answer until no instance uses the version.
 	decisionDelay = 700 * time.Millisecond
 	// A version with less than minNewAnswers answers is not accepted if the other servers have
@@ -124,11 +126,17 @@
 	return p.startedAt.Add(after)
 }
 
-// full returns for how long all requests go to the target version before it is accepted.
+// full returns the least time for which all requests go to the target version before it is accepted. The
+// counts of the answers are awaited besides.
 func (p *plan) full() time.Duration {
 	return min(max(time.Duration(fullFraction*float64(p.order.Duration)), minFull), maxFull)
 }
 
+// settle returns how long the counts of a stage are awaited.
+func (p *plan) settle() time.Duration {
+	return min(countDelay, time.Duration(settleFraction*float64(p.order.Duration)))
+}
+
 // observeShare returns the share for the stage of observation: as much as the allowed exposure leaves
 // after the stages that follow, and at a low rate of requests as much as the slack allows.
 func (p *plan) observeShare() int {
@@ -136,11 +144,11 @@
 	if observed <= 0 {
 		return minShare
 	}
-	later := (p.full() + decisionDelay).Seconds() + float64(p.raisedShare())/1000*p.at(raisedUntil).Sub(p.at(observeUntil)).Seconds()
+	later := (p.full() + p.settle() + decisionDelay).Seconds() + float64(p.raisedShare())/1000*p.at(raisedUntil).Sub(p.at(observeUntil)).Seconds()
 	share := (exposureFraction*p.settings.ExposureShare*d - later) / observed
 	share = max(minShare/1000.0, min(share, probeShare/1000.0))
 	// A rate that is too low would give too large a share.
-	rate := float64(p.old.Answers+p.new.Answers) / max(p.now.Sub(p.startedAt).Seconds()-countDelay, 0.5)
+	rate := float64(p.old.Answers+p.new.Answers) / max((p.now.Sub(p.startedAt)-countDelay).Seconds(), 0.5)
 	share += slackFraction * p.settings.ExposureSlack / (max(rate, 0.1) * observed)
 	return p.share(int(1000 * share))
 }
@@ -182,7 +190,7 @@
 		}
 		return p.move(s, model.StageRaised, max(s.SharePerMille, p.raisedShare()), "no bad answers beyond those of the other servers")
 	case model.StageRaised:
-		if p.now.Before(p.at(raisedUntil)) || p.now.Sub(p.changedAt) < p.order.Duration/20 {
+		if p.now.Before(p.at(raisedUntil)) || p.now.Sub(p.changedAt) < max(p.order.Duration/20, p.settle()) {
 			return false
 		}
 		if reason := j.Doubtful(); reason != "" {
@@ -192,9 +200,12 @@
 	case model.StageFull:
 		held := p.now.Sub(p.changedAt)
 		atEnd := !p.now.Before(endAt)
-		if held < p.full() || (!p.facts.Confirmed && !atEnd) {
+		if held < p.full() || (!atEnd && (held < p.full()+p.settle() || !p.facts.Confirmed)) {
 			return false
 		}
+		if reason := j.Unacceptable(); reason != "" {
+			return p.rollBack(s, reason)
+		}
 		s.State, s.Reason = model.RolloutCompleted, "all instances use the target version"
 		if !p.facts.Confirmed {
 			s.Reason = "the deadline is near; not all instances have confirmed that they use the target version"
