--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -452,6 +452,7 @@
 		return
 	}
 	s.waitNetworkDelay(r.Context(), r)
+	w.Header().Set(back.HeaderAttempt, r.Header.Get(back.HeaderAttempt))
 	_ = json.NewEncoder(w).Encode(out)
 }
 
