--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -273,8 +273,8 @@
 			}
 			cpuWait := maxCPUWait(before, cpuWaits(in.pid()))
 			if cpuWait < starvationThreshold || round == recoveryRounds-1 {
-				w.checks.fail("%s: %d of %d requests to the newest route %s got a complete answer, %v after the last fault; a thread waited %v for a CPU",
-					in.name, full, recoveryRequests, path, recoveryTime, cpuWait)
+				w.checks.fail("%s: %d of %d requests to the newest route %s got a complete answer, %v after the last fault; a thread waited %v for a CPU; %s",
+					in.name, full, recoveryRequests, path, recoveryTime, cpuWait, w.describeCopies())
 				break
 			}
 		}
