Relay: count servers that refused connections as cold

That a server is cold was known from its entry in the directory alone, and one that accepted connections again counted as warm.

Where the configuration limits what cold servers get, a server that refuses a connection counts as cold until it has been up for warmup-s. Peers are told, since only the owner may send to a cold server, and one instance at a time checks the server's connections until it accepts one.

--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -44,6 +44,10 @@
 		return invalidUsage(m.UsageSums)
 	case m.Reports != nil:
 		return invalidReports(m.Reports)
+	case m.Restart != nil:
+		if r := m.Restart; r.Key == "" || r.ColdMicros < 0 || r.ColdMicros > maxAge.Microseconds() {
+			return fmt.Sprintf("restart of server %q: cold for %d us", r.Key, r.ColdMicros)
+		}
 	case m.Suspects != nil:
 		if t := m.Suspects.Traits; !t.Valid() {
 			return fmt.Sprintf("suspects: fingerprint %s: %d traits, too many or not in ascending order", m.Suspects.Fingerprint, len(t))
--- a/core/engine/invalid_test.go
+++ b/core/engine/invalid_test.go
@@ -65,6 +65,8 @@
 		{"order without a duration", event.Message{Directory: &event.DirectoryUpdate{
 			BaseRevision: 10, Revision: 12, Changes: []event.DirectoryChange{valid, {Key: "o", Order: &model.RolloutOrder{Group: "g", Version: "v2"}}},
 		}}},
+		{"restart of no server", event.Message{Restart: &event.ServerRestart{ColdMicros: 1}}},
+		{"restart of a server that is cold for a negative time", event.Message{Restart: &event.ServerRestart{Key: "servers/s1", ColdMicros: -1}}},
 		{"unknown state of a fingerprint", event.Message{Suspects: &event.Suspicion{Fingerprint: 7, State: 9}}},
 	}
 	for _, test := range tests {
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -125,6 +125,10 @@
 		if e.Reports != nil {
 			e.Reports.Handle(now, from, m.Reports)
 		}
+	case m.Restart != nil:
+		if e.Relay != nil && e.Relay.HandleServerRestart(now, *m.Restart) {
+			e.broadcastExcept(from, m)
+		}
 	case m.Suspects != nil:
 		if e.Suspects.Apply(now, *m.Suspects) {
 			e.Emit(event.StateChanged{
--- a/core/engine/ratelimit_test.go
+++ b/core/engine/ratelimit_test.go
@@ -21,6 +21,8 @@
 	// turns all requests away and asks for that time without any.
 	leaving bool
 	away    time.Duration
+	// dead is set while no process listens at the server's address.
+	dead bool
 	// sentBy holds the requests of each instance, and told when the instance got such a reply.
 	sentBy map[model.InstanceID][]sentRequest
 	told   map[model.InstanceID][]time.Time
@@ -88,6 +90,8 @@
 	switch c := c.(type) {
 	case event.SendExchange:
 		f.exchange(n, c)
+	case event.CheckServer:
+		f.check(n, c)
 	case event.RoutedAnswer:
 		f.answered++
 	case event.RoutedRefusal:
@@ -103,6 +107,14 @@
 	if s.DataCentre == n.dataCentre {
 		delay = 200 * time.Microsecond
 	}
+	if s.dead {
+		f.queue.Set(f.now.Add(2*delay), func() {
+			if n.starts == starts {
+				f.tick(n, event.ExchangeEnded{Attempt: c.Attempt, Server: c.Server, Kind: event.NotSent, ConnectionRefused: true})
+			}
+		})
+		return
+	}
 	f.queue.Set(f.now.Add(delay), func() {
 		s.arrivals = append(s.arrivals, f.now)
 		s.sentBy[n.id] = append(s.sentBy[n.id], sentRequest{asked: f.askedAt[c.Attempt.Query], arrived: f.now})
@@ -119,6 +131,9 @@
 		if s.away > 0 {
 			end.Kind, end.Reason, end.Reply = event.Refused, event.RefusedShed, nil
 		}
+		if s.dead {
+			end = event.ExchangeEnded{Attempt: c.Attempt, Server: c.Server, Kind: event.Died}
+		}
 		f.queue.Set(f.now.Add(delay), func() {
 			if end.Notice.Leaving || end.Notice.Away > 0 {
 				s.told[n.id] = append(s.told[n.id], f.now)
@@ -130,6 +145,22 @@
 	})
 }
 
+// check simulates a connection check.
+func (f *limitedFleet) check(n *meshNode, c event.CheckServer) {
+	at := slices.IndexFunc(f.servers, func(s *limitedServer) bool { return s.ID == c.Server })
+	starts := n.starts
+	f.queue.Set(f.now.Add(8*time.Millisecond), func() {
+		if n.starts != starts {
+			return
+		}
+		end := event.ServerChecked{Number: c.Number, Server: c.Server, Reached: !f.servers[at].dead, ConnectionRefused: f.servers[at].dead}
+		if end.Reached {
+			end.ConnectedAt = f.now
+		}
+		f.tick(n, end)
+	})
+}
+
 // load sends requests at a rate for a time. The instance at index i gets a part of them that is
 // proportional to 1/(i+1).
 func (f *limitedFleet) load(perSecond float64, d time.Duration) {
--- a/core/engine/shares_test.go
+++ b/core/engine/shares_test.go
@@ -23,7 +23,7 @@
 	f := newLimitedFleet(seed, instances)
 	table := *f.directory[0].Routing
 	table.Version++
-	table.Pools = []model.Pool{{Group: "g", Connections: 100, ColdPerSecond: coldPerSecond}}
+	table.Pools = []model.Pool{{Group: "g", Connections: 100, ColdPerSecond: coldPerSecond, WarmUp: coldTime}}
 	f.directory[0].Routing = &table
 	f.spread(f.directory[0])
 	return f
@@ -231,3 +231,83 @@
 		t.Errorf("extra attempts in 10s: got %d for %d requests, want at most %d", got, requests, want)
 	}
 }
+
+// TestServersThatRestartWhileTheStoreIsDown guards against servers that crash and start again while the
+// store is down, and then get their full load from all instances although they are cold.
+func TestServersThatRestartWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// even is set if the callers use all instances alike, and only if all use the first one.
+		even, only bool
+		downtime   time.Duration
+		// meanwhile is called while the servers are down; it may be nil.
+		meanwhile func(f *limitedFleet)
+	}{
+		{"even load, down for a moment", true, false, 300 * time.Millisecond, nil},
+		{"even load", true, false, 2 * time.Second, nil},
+		{"even load, down for long", true, false, 9 * time.Second, nil},
+		{"uneven load", false, false, 2 * time.Second, nil},
+		{"one instance has all requests, down for long", false, true, 9 * time.Second, nil},
+		{"an instance starts again", true, false, 4 * time.Second, func(f *limitedFleet) {
+			f.kill(f.nodes[f.ids[1]])
+			f.start(f.nodes[f.ids[1]])
+		}},
+		{"a quarter of the instances is killed", true, false, 4 * time.Second, func(f *limitedFleet) {
+			for _, id := range f.ids[:len(f.ids)/4] {
+				f.kill(f.nodes[id])
+			}
+		}},
+		{"all are cut off from each other", true, false, 4 * time.Second, (*limitedFleet).isolateAll},
+	}
+	for _, test := range tests {
+		for _, instances := range []int{4, 28} {
+			t.Run(fmt.Sprintf("%d instances, %s", instances, test.name), func(t *testing.T) {
+				t.Parallel()
+				f := newColdFleet(13, instances)
+				f.expected, f.even = 4, test.even
+				load := func(d time.Duration) {
+					if !test.only {
+						f.load(200, d)
+						return
+					}
+					for at := f.now; at.Before(f.now.Add(d)); at = at.Add(5 * time.Millisecond) {
+						f.queue.Set(at, func() { f.request(f.nodes[f.ids[0]]) })
+					}
+					f.advance(d)
+				}
+				load(3 * time.Second)
+				f.storeDown = true
+				load(500 * time.Millisecond)
+				for _, s := range f.servers {
+					s.dead = true
+				}
+				load(test.downtime / 2)
+				if test.meanwhile != nil {
+					test.meanwhile(f)
+				}
+				load(test.downtime / 2)
+				for _, s := range f.servers {
+					s.dead = false
+				}
+				from := f.now
+				load(coldTime)
+				if got := f.maxPerSecond(from); got > maxColdPerSecond {
+					t.Errorf("requests to a cold server in a second: got %d, want at most %d", got, maxColdPerSecond)
+				}
+				// They are used in full again soon after.
+				load(2 * time.Second)
+				from = f.now
+				before := f.lastID
+				load(2 * time.Second)
+				var got int
+				for _, s := range f.servers {
+					got += s.arrivalsIn(from, f.now)
+				}
+				if want := int(f.lastID-before) * 49 / 50; got < want {
+					t.Errorf("requests to the servers in 2s, 2s after they are warm: got %d, want at least %d", got, want)
+				}
+			})
+		}
+	}
+}
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -38,6 +38,21 @@
 
 	// Reports goes to the collector of the area, between collectors, and from a collector to its members.
 	Reports *HealthReports `cbor:"23,keyasint,omitempty"`
+
+	// Restart is passed on until all instances have it.
+	Restart *ServerRestart `cbor:"24,keyasint,omitempty"`
+}
+
+// ServerRestart tells that a server refused a connection, so that its process has ended, or that it
+// accepts connections again. A server that starts again is cold.
+type ServerRestart struct {
+	// Key and Life are those of the server's entry in the directory.
+	Key  string `cbor:"1,keyasint"`
+	Life string `cbor:"2,keyasint"`
+	// ColdMicros is for how many microseconds from now the server counts as cold.
+	ColdMicros int64 `cbor:"3,keyasint,omitempty"`
+	// Accepts is set if the server accepts connections again. It counts as cold for as long as before.
+	Accepts bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Claims tells a peer of claims that its sender has made, in case the store loses them.
--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -98,6 +98,8 @@
 	Reached bool
 	// ConnectedAt is when the server was found to accept connections; zero if it was not reached.
 	ConnectedAt time.Time
+	// ConnectionRefused is set if no process listens at the server's address.
+	ConnectionRefused bool
 	// Detail explains why the server was not reached.
 	Detail string
 }
@@ -118,6 +120,8 @@
 	Notice Notice
 	// Use tells which connection carried the exchange.
 	Use ConnectionUse
+	// ConnectionRefused is set if Kind is NotSent since no process listens at the server's address.
+	ConnectionRefused bool
 	// Detail describes a failure, for logs.
 	Detail string
 }
--- a/core/model/route.go
+++ b/core/model/route.go
@@ -56,6 +56,8 @@
 	// ColdPerSecond is the number of requests per second that a cold server can take
 	// from all instances together; zero means no limit.
 	ColdPerSecond float64
+	// WarmUp is how long a server is cold after a start.
+	WarmUp time.Duration
 }
 
 // CallerLimits limits the size of callers' requests. Zero means no limit.
--- a/core/relay/cold.go
+++ b/core/relay/cold.go
@@ -16,7 +16,7 @@
 // cold server, or zero if that isn't limited. Instances that are cut off from each other divide
 // the rate of the server in proportion to their number.
 func (s *System) coldRate(now time.Time, b *roster.Server) float64 {
-	if !now.Before(b.ColdUntil) {
+	if !now.Before(b.ColdEnd()) {
 		return 0
 	}
 	rate := s.pools[b.Group].ColdPerSecond
--- a/core/relay/latency.go
+++ b/core/relay/latency.go
@@ -140,7 +140,7 @@
 // expectedLatency returns the expected latency of a route's request at a server.
 func (s *System) expectedLatency(now time.Time, route *model.Route, b *roster.Server) time.Duration {
 	slowness := b.Slowness(now)
-	if now.Before(b.ColdUntil) {
+	if now.Before(b.ColdEnd()) {
 		slowness = max(slowness, coldSlowness)
 	}
 	baselineLatency := float64(s.baselineLatency(route.Name, b.DataCentre))
--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -79,7 +79,7 @@
 		s.Counters.EndedNotSent++
 		if !a.Cancelled {
 			a.Server.Failed(now)
-			a.Server.Unreached(now)
+			s.recordUnreached(now, a.Server, e.ConnectionRefused)
 			s.reportFailure(now, a)
 		}
 	case event.Died:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -99,6 +99,8 @@
 	pickers        map[string]*weightedPicker
 	// checks holds the pending connection checks of servers that may have crashed.
 	checks map[*roster.Server]*check
+	// rechecks holds the servers whose next check is scheduled since they refused a connection.
+	rechecks map[*roster.Server]bool
 	// lastCheck is the number of the last check.
 	lastCheck uint64
 	// demand holds the demand of all instances, and arrivals counts the requests that this one
@@ -129,6 +131,7 @@
 	s.budgets = map[string]*budget{}
 	s.pickers = map[string]*weightedPicker{}
 	s.checks = map[*roster.Server]*check{}
+	s.rechecks = map[*roster.Server]bool{}
 	s.demand = quota.NewDemand(s.Self.ID)
 	s.arrivals = map[string]*budget{}
 	s.limited = map[model.ServerID]*roster.Server{}
@@ -202,7 +205,7 @@
 // stale reports whether a timer no longer has an effect.
 func (s *System) stale(d timerEvent) bool {
 	switch d.kind {
-	case timerStartWait:
+	case timerStartWait, timerRecheck:
 		return false
 	case timerCancel:
 		return s.attempts[d.attempt] == nil
@@ -236,6 +239,8 @@
 	timerStartWait
 	// timerCrashCheck resumes a leg whose connection check took too long.
 	timerCrashCheck
+	// timerRecheck checks a server that refused a connection.
+	timerRecheck
 )
 
 // timerEvent is one timer. Timers are never cancelled: the handler checks whether the
@@ -245,19 +250,23 @@
 	request event.QueryID
 	leg     int
 	attempt event.AttemptID
+	server  *roster.Server
 }
 
 // fire handles a timer that is due.
 func (s *System) fire(now time.Time, d timerEvent) {
-	if d.kind == timerCancel {
+	switch d.kind {
+	case timerCancel:
 		if a := s.attempts[d.attempt]; a != nil {
 			s.cancel(a)
 		}
 		return
-	}
-	if d.kind == timerStartWait {
+	case timerStartWait:
 		s.endStartWait(now, d.request)
 		return
+	case timerRecheck:
+		s.recheck(now, d.server)
+		return
 	}
 	q := s.requests[d.request]
 	if q == nil || q.Done {
--- a/core/relay/rollout.go
+++ b/core/relay/rollout.go
@@ -76,7 +76,7 @@
 // be down.
 func (s *System) anyOnSide(now time.Time, q *Request, l *Leg, d *rollo.Division, side rollo.Side) bool {
 	for _, b := range s.Servers.Group(l.Group) {
-		if d.Side(b.Version) == side && s.eligible(q.Route, b) && !now.Before(b.DownUntil) && !now.Before(b.ColdUntil) {
+		if d.Side(b.Version) == side && s.eligible(q.Route, b) && !now.Before(b.DownUntil) && !now.Before(b.ColdEnd()) {
 			return true
 		}
 	}
@@ -86,7 +86,7 @@
 // countAnswer counts the end of an exchange for the roll-out of its group, if one is running.
 func (s *System) countAnswer(now time.Time, a *Attempt, e event.ExchangeEnded) {
 	r := s.runningRollout(a.Server.Group)
-	if r == nil || a.Server.ColdUntil.After(a.SentAt) {
+	if r == nil || a.Server.ColdEnd().After(a.SentAt) {
 		// A cold server of a good version is slow as well.
 		return
 	}
--- a/core/relay/suspect.go
+++ b/core/relay/suspect.go
@@ -179,11 +179,12 @@
 // is the matter of another check: the server may have crashed since.
 func (s *System) endCheck(now time.Time, b *roster.Server, c *check, e event.ServerChecked) {
 	if e.Reached {
+		s.recordReached(b)
 		if b.Reached(e.ConnectedAt) {
 			s.check(b)
 		}
 	} else {
-		b.Unreached(now)
+		s.recordUnreached(now, b, e.ConnectionRefused)
 		for _, broken := range b.TakeBroken(now) {
 			s.attributeCrash(now, b, broken)
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -28,8 +28,11 @@
 	Key string
 	// ReportKey identifies the server's incarnation in reports of its health.
 	ReportKey uint64
-	// ColdUntil is the time from which the server counts as warm.
+	// ColdUntil is the time from which the server is warm by its entry.
 	ColdUntil time.Time
+	// restartColdUntil is the time from which it is warm if it has started again since it last refused a
+	// connection, and RefusedAt when that was; zero if it has accepted one since.
+	restartColdUntil, RefusedAt time.Time
 	// MissingSince is when the entry was found missing after a directory outage; zero while
 	// the server is listed. Logs call such a server lapsed.
 	MissingSince time.Time
@@ -98,6 +101,9 @@
 	return false
 }
 
+// Get returns the server with a directory key, or nil.
+func (t *Table) Get(key string) *Server { return t.servers[key] }
+
 // All returns the servers in no particular order.
 func (t *Table) All() iter.Seq[*Server] { return maps.Values(t.servers) }
 
@@ -141,7 +147,7 @@
 			continue
 		}
 		r := s.Registration
-		r.ColdFor = max(0, s.ColdUntil.Sub(now))
+		r.ColdFor = max(0, s.ColdEnd().Sub(now))
 		out = append(out, event.DirectoryChange{Key: key, Server: &r})
 	}
 	return out
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,7 +72,7 @@
 	request := b.connPool.digestOf(r.RequestID)
 	conn, err := b.connect(p, c, request, deadline)
 	if err != nil {
-		end.Detail = err.Error()
+		end.ConnectionRefused, end.Detail = errors.Is(err, syscall.ECONNREFUSED), err.Error()
 		return end
 	}
 	end.Use = b.connPool.beginUse(conn)
@@ -135,7 +136,9 @@
 	b.connPool.acquire(c.Address)
 	conn, err := b.connPool.dial(ctx, c.Address)
 	if err != nil {
-		return event.ServerChecked{Number: c.Number, Server: c.Server, Detail: err.Error()}
+		return event.ServerChecked{
+			Number: c.Number, Server: c.Server, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), Detail: err.Error(),
+		}
 	}
 	connectedAt := b.clock.Now()
 	b.connPool.put(conn, c.Connections, defaultIdleTimeout)
--- a/io/pass/pass_test.go
+++ b/io/pass/pass_test.go
@@ -201,8 +201,8 @@
 	_ = l.Close()
 	b := pass.NewBackendClient(systemClock{}, names, replyMemory())
 	defer b.Close()
-	if got := exchange(b, address, "r1", 1); got.Kind != event.NotSent {
-		t.Errorf("got %v, want %v", got.Kind, event.NotSent)
+	if got := exchange(b, address, "r1", 1); got.Kind != event.NotSent || !got.ConnectionRefused {
+		t.Errorf("got %v, connection refused: %t; want %v, true", got.Kind, got.ConnectionRefused, event.NotSent)
 	}
 }
 
@@ -572,8 +572,8 @@
 		t.Errorf("connections: got %d, want %d", got, want)
 	}
 	check.Address = "127.0.0.1:1"
-	if got := b.Check(t.Context(), check); got.Reached || got.Detail == "" {
-		t.Errorf("address without a server: got %+v, want it not reached, with a detail", got)
+	if got := b.Check(t.Context(), check); got.Reached || !got.ConnectionRefused || got.Detail == "" {
+		t.Errorf("address without a server: got %+v, want the connection refused, with a detail", got)
 	}
 }
 
