--- a/io/guard/account.go
+++ b/io/guard/account.go
@@ -102,10 +102,10 @@
 }
 
 // charge counts n more bytes for a holder. When the budget is full it evicts the holders that have held
-// most for longest and can be evicted, and waits until replies that were given up are released. It returns false, and
-// counts nothing, if that isn't enough or h is the one to evict. With force it counts the bytes in any case,
-// without waiting. A holder that is alone in holding any is never refused: what it holds is limited by its own
-// limits.
+// most for longest and can be evicted, and waits until replies that were given up are released. It
+// returns false, and counts nothing, if that isn't enough or h is the one to evict. With force it counts
+// the bytes in any case, without waiting. A holder that is alone in holding any is never refused: what it
+// holds is limited by its own limits.
 func (g *Guard) charge(h holder, n int64, force bool) bool {
 	now := g.clock.Now()
 	g.mu.Lock()
--- a/io/guard/account_test.go
+++ b/io/guard/account_test.go
@@ -51,8 +51,13 @@
 	if !usual.Charge(200<<10) || usual.Aborted() {
 		t.Errorf("usual reply: refused or aborted (%t), want the long one aborted", usual.Aborted())
 	}
-	if !<-ended {
-		t.Error("long reply: not aborted, or charged afterwards; want it aborted and refused")
+	select {
+	case refused := <-ended:
+		if !refused {
+			t.Error("long reply: charged after it was aborted, want it refused")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("long reply: not aborted in 10s")
 	}
 	// A reply that is itself the largest is refused.
 	if usual.Charge(300<<10) && reserve(g).Charge(900<<10) {
