--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -86,7 +86,7 @@
 		}
 		o.decidedAt = time.Now()
 		if status.State != o.want || status.Version != "v2" {
-			w.checks.fail("roll-out of group %s: got state %q of version %q (%s), want %q of v2", o.group, status.State, status.Version, status.Reason, o.want)
+			w.checks.fail("roll-out of group %s: got state %q of version %q (%s), want %q of v2; %s", o.group, status.State, status.Version, status.Reason, o.want, describeAnswers(status))
 		}
 		time.Sleep(settleTime + observedTime)
 		return
@@ -95,6 +95,11 @@
 	w.checks.fail("roll-out of group %s: not decided %v after its order, %v after its deadline: %+v", o.group, duration+latencySlack, latencySlack, status)
 }
 
+// describeAnswers returns the answers on which a roll-out was decided.
+func describeAnswers(s platform.StatusEntry) string {
+	return fmt.Sprintf("stage %s, known answers of the new version %+v, of the old one %+v", s.Stage, s.New, s.Old)
+}
+
 // runsOf returns what the servers of a version have executed.
 func (o *rollout) runsOf(version string) (runs []stand.Run) {
 	for _, s := range o.servers[version] {
@@ -145,6 +150,7 @@
 		}
 	}
 	if bound := exposureShare*float64(all) + exposureSlack; float64(newer) > bound {
-		w.checks.fail("roll-out of group %s: %d of %d requests reached the bad version, want at most %.0f", o.group, newer, all, bound)
+		status, _ := w.store.Status(o.group)
+		w.checks.fail("roll-out of group %s: %d of %d requests reached the bad version, want at most %.0f; %s", o.group, newer, all, bound, describeAnswers(status))
 	}
 }
