Relay: keep checking a server that refused a connection after a check

The result of a check that was reached before the server refused another connection ended the checks, so that the next start would not be noticed. Results now count by the time at which the server accepted, also those that peers tell. TestCheckBeforeARefusal failed before: 1 check, want 2.

--- a/core/engine/invalid.go
+++ b/core/engine/invalid.go
@@ -45,8 +45,8 @@
 	case m.Reports != nil:
 		return invalidReports(m.Reports)
 	case m.Restart != nil:
-		if r := m.Restart; r.Key == "" || r.ColdMicros < 0 || r.ColdMicros > maxAge.Microseconds() {
-			return fmt.Sprintf("restart of server %q: cold for %d us", r.Key, r.ColdMicros)
+		if r := m.Restart; r.Key == "" || r.ColdMicros < 0 || r.ColdMicros > maxAge.Microseconds() || r.AgeMicros < 0 || r.AgeMicros > maxAge.Microseconds() {
+			return fmt.Sprintf("restart of server %q: cold for %d us, age %d us", r.Key, r.ColdMicros, r.AgeMicros)
 		}
 	case m.Suspects != nil:
 		if t := m.Suspects.Traits; !t.Valid() {
--- a/core/engine/invalid_test.go
+++ b/core/engine/invalid_test.go
@@ -67,6 +67,7 @@
 		}}},
 		{"restart of no server", event.Message{Restart: &event.ServerRestart{ColdMicros: 1}}},
 		{"restart of a server that is cold for a negative time", event.Message{Restart: &event.ServerRestart{Key: "servers/s1", ColdMicros: -1}}},
+		{"restart of a server that accepts connections in the future", event.Message{Restart: &event.ServerRestart{Key: "servers/s1", Accepts: true, AgeMicros: -1}}},
 		{"unknown state of a fingerprint", event.Message{Suspects: &event.Suspicion{Fingerprint: 7, State: 9}}},
 	}
 	for _, test := range tests {
--- a/core/event/message.go
+++ b/core/event/message.go
@@ -53,6 +53,8 @@
 	ColdMicros int64 `cbor:"3,keyasint,omitempty"`
 	// Accepts is set if the server accepts connections again. It counts as cold for as long as before.
 	Accepts bool `cbor:"4,keyasint,omitempty"`
+	// AgeMicros is how many microseconds ago it accepted one.
+	AgeMicros int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Claims tells a peer of claims that its sender has made, in case the store loses them.
--- a/core/relay/restart.go
+++ b/core/relay/restart.go
@@ -52,13 +52,20 @@
 	s.scheduleRecheck(b)
 }
 
-// recordReached records that a server accepts connections, and tells peers, which need not check it then.
-func (s *System) recordReached(b *roster.Server) {
+// recordReached records that a server accepted a connection at the given time, and tells peers, which need
+// not check it then.
+func (s *System) recordReached(now time.Time, b *roster.Server, at time.Time) {
 	if b.RefusedAt.IsZero() {
 		return
 	}
-	b.RefusedAt = time.Time{}
-	s.Broadcaster.Broadcast(event.Message{Restart: &event.ServerRestart{Key: b.Key, Life: b.Life, Accepts: true}})
+	if !b.Accepted(at) {
+		// It has refused another one since.
+		s.scheduleRecheck(b)
+		return
+	}
+	s.Broadcaster.Broadcast(event.Message{Restart: &event.ServerRestart{
+		Key: b.Key, Life: b.Life, Accepts: true, AgeMicros: max(0, now.Sub(at).Microseconds()),
+	}})
 }
 
 // HandleServerRestart handles what a peer tells of a server. It reports whether that is news.
@@ -68,9 +75,7 @@
 		return false
 	}
 	if r.Accepts {
-		news = !b.RefusedAt.IsZero()
-		b.RefusedAt = time.Time{}
-		return news
+		return !b.RefusedAt.IsZero() && b.Accepted(now.Add(-time.Duration(r.AgeMicros)*time.Microsecond))
 	}
 	cold := min(time.Duration(r.ColdMicros)*time.Microsecond, restartMargin+s.pools[b.Group].WarmUp)
 	news = b.RecordRefused(now, now.Add(cold)) >= minRestartNews
--- a/core/relay/suspect.go
+++ b/core/relay/suspect.go
@@ -179,7 +179,7 @@
 // is the matter of another check: the server may have crashed since.
 func (s *System) endCheck(now time.Time, b *roster.Server, c *check, e event.ServerChecked) {
 	if e.Reached {
-		s.recordReached(b)
+		s.recordReached(now, b, e.ConnectedAt)
 		if b.Reached(e.ConnectedAt) {
 			s.check(b)
 		}
--- a/core/relay/suspect_test.go
+++ b/core/relay/suspect_test.go
@@ -237,3 +237,37 @@
 		t.Errorf("suspected: got %v, want %v", got, want)
 	}
 }
+
+// TestCheckBeforeARefusal guards against the result of a check that comes after a later connection was
+// refused: the server would not be checked again, so that its next start would not be noticed.
+func TestCheckBeforeARefusal(t *testing.T) {
+	s := newCheckScript()
+	table := *s.Table()
+	table.Version++
+	table.Pools = []model.Pool{{Group: "g0", Connections: 30, ColdPerSecond: 10, WarmUp: 3 * time.Second}}
+	s.Configure(&table)
+	s.breakExchange(1)
+	s.run(2 * ms)
+	connectedAt := s.now
+	s.run(3 * ms)
+	s.exchanges = nil
+	s.sendWithFingerprint(2)
+	for _, e := range s.exchanges {
+		if e.Server == "s0-0" {
+			s.HandleExchangeEnded(s.now, event.ExchangeEnded{Attempt: e.Attempt, Server: e.Server, Kind: event.NotSent, ConnectionRefused: true})
+		}
+	}
+	if b := s.Servers.Get("s0-0"); b.RefusedAt.IsZero() {
+		t.Fatal("the refused connection was not recorded")
+	}
+	s.HandleServerChecked(s.now, event.ServerChecked{Number: s.checks[0].Number, Server: "s0-0", Reached: true, ConnectedAt: connectedAt})
+	s.run(2 * time.Second)
+	if got, want := len(s.checks), 2; got != want {
+		t.Fatalf("checks within 2s of the refusal: got %d, want %d", got, want)
+	}
+	s.HandleServerChecked(s.now, event.ServerChecked{Number: s.checks[1].Number, Server: "s0-0", Reached: true, ConnectedAt: s.now})
+	s.run(2 * time.Second)
+	if got, want := len(s.checks), 2; got != want {
+		t.Errorf("checks after the server was reached: got %d, want %d", got, want)
+	}
+}
--- a/core/roster/cold.go
+++ b/core/roster/cold.go
@@ -27,3 +27,13 @@
 
 // MayHaveRestarted reports whether the server counts as cold because it refused a connection.
 func (s *Server) MayHaveRestarted(now time.Time) bool { return now.Before(s.restartColdUntil) }
+
+// Accepted records that the server accepted a connection at the given time. It reports whether it has
+// refused none since.
+func (s *Server) Accepted(at time.Time) bool {
+	if !at.After(s.RefusedAt) {
+		return false
+	}
+	s.RefusedAt = time.Time{}
+	return true
+}
