--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -32,6 +32,9 @@
 // replyTimeoutSlack is added to the deadline to allow for network delay.
 const replyTimeoutSlack = 5 * time.Second
 
+// maxAnswerBytes is the maximum size of an answer: results of 4 MiB of 16 groups.
+const maxAnswerBytes = 64 << 20
+
 // Run implements the command.
 func (c *QueryCmd) Run(s *streams) error {
 	reply, body, err := c.send()
@@ -89,7 +92,10 @@
 		return nil, nil, err
 	}
 	defer func() { _ = reply.Body.Close() }()
-	body, err = io.ReadAll(reply.Body)
+	body, err = io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	if len(body) > maxAnswerBytes {
+		return reply, nil, errors.Newf("the answer has more than %d bytes", maxAnswerBytes)
+	}
 	return reply, body, err
 }
 
