io/guard: count closed connections until their goroutines end

A connection that was closed to make room counted as free at once, while its goroutine kept the head that net/http had read until it got processor time.

TestClosedConnectionCountsUntilItsGoroutineEnds failed before: the head that takes the place was read at once.

--- a/io/guard/account.go
+++ b/io/guard/account.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// maxReleaseWait is how long a charge waits until what was given up for it is released. The reader of a reply
+// maxReleaseWait is how long a charge waits until what was given up for it is released. The reader that waits
 // notices neither a deadline nor a cancellation meanwhile.
 const maxReleaseWait = 250 * time.Millisecond
 
@@ -14,6 +14,8 @@
 	// held is the number of bytes charged since heldSince.
 	held      int64
 	heldSince time.Time
+	// abandoned is the number of bytes that were given up and that the reader, which has not ended, still holds.
+	abandoned int64
 	// closed is set once the holder can't charge any more.
 	closed bool
 }
@@ -35,9 +37,6 @@
 	abort func()
 	// used is set while anything may be charged.
 	used bool
-	// abandoned is the number of bytes that were given up for others and are not released yet. It is guarded by
-	// guard.mu.
-	abandoned int64
 	account
 }
 
@@ -56,10 +55,8 @@
 func (r *Reservation) evict() {
 	g := r.guard
 	g.counters.AbandonedReplies++
-	r.abandoned = r.held
-	g.abandoned += r.abandoned
 	r.closed = true
-	g.drop(r)
+	g.abandon(r)
 	r.abort()
 }
 
@@ -93,8 +90,7 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.abandoned -= r.abandoned
-	r.abandoned = 0
+	g.release(r)
 	g.drop(r)
 	if c != nil && n > 0 && !c.closed {
 		g.add(now, c, n)
@@ -102,7 +98,7 @@
 }
 
 // charge counts n more bytes for a holder. When the budget is full it evicts the holders that have held
-// most for longest and can be evicted, and waits until replies that were given up are released. It
+// most for longest and can be evicted, and waits until what was given up is released. It
 // returns false, and counts nothing, if that isn't enough or h is the one to evict. With force it counts
 // the bytes in any case, without waiting. A holder that is alone in holding any is never refused: what it
 // holds is limited by its own limits.
@@ -196,6 +192,22 @@
 	g.signalChange()
 }
 
+// abandon gives up all bytes of a holder. They count until they are released. The caller holds g.mu.
+func (g *Guard) abandon(h holder) {
+	a := h.charged()
+	a.abandoned += a.held
+	g.abandoned += a.held
+	g.drop(h)
+}
+
+// release uncounts the bytes of a holder that were given up. The caller holds g.mu.
+func (g *Guard) release(h holder) {
+	a := h.charged()
+	g.abandoned -= a.abandoned
+	a.abandoned = 0
+	g.signalChange()
+}
+
 // signalChange wakes the charges that wait in awaitChange. The caller holds g.mu.
 func (g *Guard) signalChange() {
 	if g.changed != nil {
--- a/io/guard/account_test.go
+++ b/io/guard/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -144,6 +145,68 @@
 	}
 }
 
+// TestClosedConnectionCountsUntilItsGoroutineEnds guards against heads of requests that are given up, and others
+// that take their place, faster than their goroutines get processor time to let go of them.
+func TestClosedConnectionCountsUntilItsGoroutineEnds(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const budget = 128 << 10
+	g := guard.New(stoppedClock{}, guard.Limits{Budget: budget, HeaderLines: 1 << 10})
+	l := g.Listen(raw, guard.ListenerOptions{Connections: 16, HeaderBytes: 1 << 20})
+	defer func() { _ = l.Close() }()
+	// accept returns both ends of a connection on which part of a head was sent.
+	accept := func(size int) (client, server net.Conn) {
+		client, err := net.Dial("tcp", raw.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(client, strings.Repeat("x", size)); err != nil {
+			t.Fatal(err)
+		}
+		server, err = l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client, server
+	}
+	// read reads what was sent, as net/http does.
+	read := func(c net.Conn, size int) (err error) {
+		_, err = io.ReadFull(c, make([]byte, size))
+		return err
+	}
+	const large, usual = 40 << 10, 20 << 10
+	largeClient, largeConn := accept(large)
+	defer func() { _ = largeClient.Close() }()
+	usualClient, usualConn := accept(usual)
+	defer func() { _ = usualClient.Close(); _ = usualConn.Close() }()
+	if err := read(largeConn, large); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- read(usualConn, usual) }()
+	for g.Status().ClosedHolding == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The goroutine of the large one has not ended, so that the other one waits.
+	select {
+	case err := <-ended:
+		t.Fatalf("head beside a closed connection whose goroutine runs: read with error %v, want it to wait", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	if s := g.Status(); s.HeldBytes+s.AbandonedBytes > budget {
+		t.Errorf("held and abandoned: got %d and %d bytes, want at most %d", s.HeldBytes, s.AbandonedBytes, budget)
+	}
+	_ = largeConn.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("head after the goroutine has ended: %v, want it read", err)
+	}
+	if s := g.Status(); s.AbandonedBytes != 0 {
+		t.Errorf("after the goroutine has ended: got %d bytes abandoned, want 0", s.AbandonedBytes)
+	}
+}
+
 // TestCompleteReplyIsChargedToItsCaller guards against complete replies that aren't counted until their
 // callers have read them.
 func TestCompleteReplyIsChargedToItsCaller(t *testing.T) {
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -315,6 +315,7 @@
 		c.ending = false
 		c.listener.ending--
 		c.listener.ended.Signal()
+		c.guard.release(c)
 	}
 	c.guard.mu.Unlock()
 	return c.Conn.Close()
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -104,7 +104,7 @@
 	// Connections is the number of open connections of each listener.
 	Connections map[string]int `json:"connections"`
 	HeldBytes   int64          `json:"held-bytes"`
-	// AbandonedBytes are those of replies that were given up and whose readers have not ended.
+	// AbandonedBytes are those of connections and replies that were given up and whose readers have not ended.
 	AbandonedBytes int64 `json:"abandoned-bytes"`
 	BudgetBytes    int64 `json:"budget-bytes"`
 }
@@ -122,7 +122,7 @@
 	counters  Counters
 	// held is the sum of the bytes charged by the holders, which are those with any.
 	held int64
-	// abandoned is the number of bytes of replies that were given up and are not released yet.
+	// abandoned is the number of bytes that were given up and are not released yet.
 	abandoned int64
 	// changed is closed when a holder has less than before, or nil if nothing waits for that.
 	changed chan struct{}
@@ -209,6 +209,7 @@
 	if !c.closed {
 		c.ending = true
 		c.listener.ending++
+		g.abandon(c)
 	}
 	g.forget(c)
 	_ = c.Conn.Close()
