io/guard: let the limit on heads follow the machine's memory

Cause, by traces of the collector: what is allocated while a collection waits for a processor is only freed by the next one (15 MB at its begin, 43 MB at its end, 19 ms, 1 ms of them on a processor), and net/http leaves five times the size of a long line. The limit on heads was 1 MiB on any machine where the operators set none, so that three heads filled the budget of the smallest.

TestHeadBeyondTheMachineIsRefused failed before: status 200.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,8 +1,10 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -176,6 +178,30 @@
 	}
 }
 
+// TestHeadBeyondTheMachineIsRefused guards against a limit on header sections that is that of a large machine on a
+// small one: a few of them would fill the memory for all requests.
+func TestHeadBeyondTheMachineIsRefused(t *testing.T) {
+	in := startInstance(t, false)
+	for size, want := range map[int]int{32 << 10: http.StatusOK, 192 << 10: http.StatusRequestHeaderFieldsTooLarge} {
+		c, err := net.DialTimeout("tcp", in.listen, 5*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		// The instance may refuse before it has read all.
+		_, _ = fmt.Fprintf(c, "GET /healthz HTTP/1.1\r\nHost: crowd.example\r\nX-Long: %s\r\n\r\n", strings.Repeat("x", size))
+		reply, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("head of %d bytes: %v", size, err)
+		}
+		_ = reply.Body.Close()
+		_ = c.Close()
+		if got := reply.StatusCode; got != want {
+			t.Errorf("head of %d bytes: got status %d, want %d", size, got, want)
+		}
+	}
+}
+
 // TestIdleConnectionsOnAllListeners guards against listeners that stay within their own limits and
 // together leave no descriptors for servers and the store.
 func TestIdleConnectionsOnAllListeners(t *testing.T) {
--- a/io/guard/listener.go
+++ b/io/guard/listener.go
@@ -29,7 +29,9 @@
 	limit       int
 	perAddress  int
 	activeLimit int
-	headerBytes atomic.Int64
+	// headerBytes is the limit on header sections, and defaultHeaderBytes the one of the options.
+	headerBytes        atomic.Int64
+	defaultHeaderBytes int
 
 	// The following fields are guarded by guard.mu.
 
@@ -53,18 +55,23 @@
 func (g *Guard) Listen(l net.Listener, o ListenerOptions) *Listener {
 	out := &Listener{
 		Listener: l, guard: g, name: o.Name, limit: o.Connections, perAddress: o.PerAddress, activeLimit: o.Active,
-		conns: map[*Conn]struct{}{}, byAddress: map[netip.Addr]int{},
+		defaultHeaderBytes: o.HeaderBytes, conns: map[*Conn]struct{}{}, byAddress: map[netip.Addr]int{},
 	}
 	out.ended = sync.NewCond(&g.mu)
-	out.headerBytes.Store(int64(o.HeaderBytes))
+	out.SetHeaderBytes(o.HeaderBytes)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listeners = append(g.listeners, out)
 	return out
 }
 
-// SetHeaderBytes sets the limit on header sections.
-func (l *Listener) SetHeaderBytes(n int) { l.headerBytes.Store(int64(n)) }
+// SetHeaderBytes sets the limit on header sections. 0 stands for the one of the options.
+func (l *Listener) SetHeaderBytes(n int) {
+	if n <= 0 {
+		n = l.defaultHeaderBytes
+	}
+	l.headerBytes.Store(int64(n))
+}
 
 // Accept implements net.Listener. A connection beyond the limits takes the place of one without
 // a request. If there is none, it is closed.
--- a/io/guard/plan.go
+++ b/io/guard/plan.go
@@ -17,6 +17,8 @@
 	// Active is the number of callers' requests that may be in progress, or 0 for no limit.
 	// ControlActive and OtherActive are the same for the other listeners.
 	Active, ControlActive, OtherActive int
+	// HeaderBytes is the maximum size of the header section of a caller's request if the operators set none.
+	HeaderBytes int
 	// ReplyBytes is the maximum size of the body of a server's reply.
 	ReplyBytes int64
 	// SocketBuffer is the size of the receive and send buffer of a connection, or 0 for the
@@ -32,6 +34,11 @@
 	// budgetFraction is the fraction of the memory that is the budget. What is counted takes up
 	// to twice its size until it is collected.
 	budgetFraction = 10
+	// maxHeaderBytes is the maximum size of a header section on a machine with enough memory. headerFraction
+	// is the fraction of the memory that one may have. While net/http reads a long line it leaves several
+	// times its size to the collector, which may take long to run on a busy machine.
+	maxHeaderBytes = 1 << 20
+	headerFraction = 512
 	// replyFraction is the fraction of the memory that the body of a reply may have. It is copied once.
 	replyFraction = 8
 	// connectionMemory is the memory of a connection without a request: its goroutine, 8 KiB of
@@ -65,11 +72,12 @@
 	p.Callers = min(usable/2, maxCallers)
 	p.Control = min(usable/4, maxControl)
 	p.Other = min(max(usable/32, minOther), maxOther)
-	p.ReplyBytes = maxReplyBytes
+	p.HeaderBytes, p.ReplyBytes = maxHeaderBytes, maxReplyBytes
 	if memory == 0 {
 		p.Budget = defaultMemory / budgetFraction
 		return p
 	}
+	p.HeaderBytes = int(min(maxHeaderBytes, memory/headerFraction))
 	p.ReplyBytes = min(p.ReplyBytes, memory/replyFraction)
 	p.Budget = memory / budgetFraction
 	// The rest is for what the kernel holds and for the program itself.
--- a/io/node/clients.go
+++ b/io/node/clients.go
@@ -11,10 +11,8 @@
 )
 
 const (
-	// defaultHeaderBytes limits header sections while no limit of the operators is known, and
-	// otherHeaderBytes those on the listeners that are not for callers.
-	defaultHeaderBytes = 1 << 20
-	otherHeaderBytes   = 64 << 10
+	// otherHeaderBytes limits header sections on the listeners that are not for callers.
+	otherHeaderBytes = 64 << 10
 	// serverHeaderBytes is the limit of net/http for callers. The guard applies that of the
 	// operators, which may change and is lower.
 	serverHeaderBytes = 64 << 20
@@ -46,7 +44,7 @@
 // guardListeners bounds what the clients of the listeners use.
 func (n *Node) guardListeners(s setup.Settings, d Dependencies, plan guard.Plan) {
 	n.listener = n.guard.Listen(d.Listener, guard.ListenerOptions{
-		Name: "callers", Connections: plan.Callers, PerAddress: s.Callers.PerAddress, Active: plan.Active, HeaderBytes: defaultHeaderBytes,
+		Name: "callers", Connections: plan.Callers, PerAddress: s.Callers.PerAddress, Active: plan.Active, HeaderBytes: plan.HeaderBytes,
 	})
 	n.control = n.guard.Listen(d.Control, guard.ListenerOptions{Name: "control", Connections: plan.Control, Active: plan.ControlActive, HeaderBytes: otherHeaderBytes})
 }
--- a/io/node/routed.go
+++ b/io/node/routed.go
@@ -159,11 +159,7 @@
 // setLimits stores the caller limits of the active routing table.
 func (r *routed) setLimits(c event.SetCallerLimits) {
 	r.limits.Store(&c.Limits)
-	headerBytes := c.Limits.HeaderBytes
-	if headerBytes <= 0 {
-		headerBytes = defaultHeaderBytes
-	}
-	r.node.listener.SetHeaderBytes(headerBytes)
+	r.node.listener.SetHeaderBytes(c.Limits.HeaderBytes)
 }
 
 // Leaving implements pass.Executor.
