io/pass: treat a rejection with a success status as a rejection

Callers saw a request refused that ran: its first attempt was rejected with status 200, the next one went out on the same connection and took a second copy of that rejection for its own.

A connection carries a request again only if its reply there was successful. That was decided by the status alone, though a reply that says that the request was not run is a rejection whatever its status is. It is now decided by how the exchange ended.

Found by reading: the method repeated event.Reply.Success without the kind of the reply. The test read its counts without their lock, which showed once such a case failed.

--- a/io/pass/attribution_test.go
+++ b/io/pass/attribution_test.go
@@ -86,6 +86,13 @@
 	return false
 }
 
+// runsOf returns how often a request has run.
+func (s *copyingServer) runsOf(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
 func (s *copyingServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
@@ -153,6 +160,7 @@
 	}{
 		{"rejection", head("503 Busy\r\nX-Not-Run: 1"), event.Refused},
 		{"rejection with 429", head("429 Too Many Requests\r\nX-Not-Run: 1"), event.Refused},
+		{"rejection with 200", head("200 OK\r\nX-Not-Run: 1"), event.Refused},
 		{"421", head("421 Misdirected Request\r\nX-Server: s2"), event.Refused},
 		{"failure", head("500 Oops\r\nX-Stamp: st"), event.Answered},
 		{"unnamed rejection", unnamed("503 Busy\r\nX-Not-Run: 1"), event.Refused},
@@ -186,7 +194,7 @@
 				if got := attempt(b, address, "r3", 4, 4); (got.Kind != event.Answered || string(got.Reply.Body) != "right") && got.Kind != event.BadReply {
 					t.Errorf("next request: got %v (%s), want the answer to it or %v", got.Kind, got.Detail, event.BadReply)
 				}
-				if got := s.runs["r1"]; got != 1 {
+				if got := s.runsOf("r1"); got != 1 {
 					t.Errorf("second attempt: ran %d times, want 1", got)
 				}
 			})
@@ -208,7 +216,7 @@
 		}
 		got := attempt(b, address, nextID, 2, 4)
 		if got.Kind == event.Refused {
-			t.Errorf("next request, ID %q: got %v, and it ran %d times", nextID, got.Kind, s.runs[nextID])
+			t.Errorf("next request, ID %q: got %v, and it ran %d times", nextID, got.Kind, s.runsOf(nextID))
 		}
 	}
 }
--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -109,8 +109,8 @@
 	// number is that of ConnectionUse, and exchanges counts the exchanges so far.
 	number    uint64
 	exchanges int
-	// unsuccessful holds the requests that were sent on the connection and got a reply without a
-	// success status. They may be sent again, but not on this connection: a second copy of that reply,
+	// unsuccessful holds the requests that were sent on the connection and got a reply that isn't a
+	// successful answer. They may be sent again, but not on this connection: a second copy of that reply,
 	// which may arrive at any time, would pass for the reply to the next attempt.
 	unsuccessful []requestDigest
 	// usedAt is when the connection was last put into the pool, and keepUntil is when the
@@ -218,7 +218,7 @@
 	return event.ConnectionUse{Connection: c.number, Exchange: c.exchanges}
 }
 
-// recordUnsuccessful records that a request got a reply without a success status on the connection. It
+// recordUnsuccessful records that a request got a reply that isn't a successful answer on the connection. It
 // returns false if the connection has carried too many such requests to be used again.
 func (c *conn) recordUnsuccessful(d requestDigest) bool {
 	c.unsuccessful = append(c.unsuccessful, d)
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -112,7 +112,7 @@
 	}
 	// A second copy of a reply without a name could not be told from the next one.
 	reusable := named && end.Kind != event.BadReply && conn.reader.Buffered() == 0
-	if !reply.success() {
+	if end.Reply == nil || !end.Reply.Success() {
 		reusable = conn.recordUnsuccessful(request) && reusable
 	}
 	// The guard doesn't abort reads of the connection any more.
--- a/io/pass/reply.go
+++ b/io/pass/reply.go
@@ -41,9 +41,6 @@
 	body      []byte
 }
 
-// success reports whether the reply has a success status.
-func (r *serverReply) success() bool { return r.status >= 200 && r.status < 300 }
-
 // header returns the first value of a header, or "". The name must be canonical.
 func (r *serverReply) header(name string) string {
 	for i := range r.fields {
