--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -250,7 +250,8 @@
 	request event.QueryID
 	leg     int
 	attempt event.AttemptID
-	server  *roster.Server
+	// server is set for timerRecheck only.
+	server *roster.Server
 }
 
 // fire handles a timer that is due.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -195,10 +195,10 @@
 	// to be left alone for a time, and NoticesInvalid the replies with an invalid form of either.
 	ServersLeaving uint64 `json:"servers-leaving"`
 	ServersAway    uint64 `json:"servers-away"`
+	NoticesInvalid uint64 `json:"server-notices-invalid"`
 	// ServersRestarting counts how often this instance found that a server refuses connections, so that
 	// it is cold if it starts again.
 	ServersRestarting uint64 `json:"servers-restarting"`
-	NoticesInvalid    uint64 `json:"server-notices-invalid"`
 	// LimitsNamed counts how often a server began to name a rate limit or changed it, and
 	// LimitsInvalid the replies with an invalid one. AttemptsLimited counts the attempts to
 	// servers with a rate limit.
