--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -198,9 +198,11 @@
 	At time.Duration
 	// Decision names the decision.
 	Decision string
-	// Server and Group are set for decisions on one attempt.
-	Server model.ServerID
-	Group  string
+	// Server and Group are set for decisions on one attempt. DataCentre is that of the server of an
+	// attempt that is sent.
+	Server     model.ServerID
+	Group      string
+	DataCentre string
 	// Expected is the expected latency that the decision was based on; zero if the
 	// decision did not depend on it.
 	Expected time.Duration
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"hyssoppitch/core/event"
@@ -46,7 +45,7 @@
 	if !s.Servers.Usable(b) || s.excludedVersion(b) {
 		return false
 	}
-	return len(r.Regions) == 0 || slices.Contains(r.Regions, s.Options.Regions[b.DataCentre])
+	return s.inRegions(r.Regions, b)
 }
 
 // connectionLimit returns the maximum number of connections that this instance opens to
@@ -168,7 +167,7 @@
 			Instance: s.Self.ID, Incarnation: s.Self.Incarnation, Query: q.Query, Leg: leg, Number: q.AttemptCount,
 		},
 		Server: b, Leg: leg, SentAt: now, BaselineLatency: s.baselineLatency(q.Route.Name, b.DataCentre), Route: q.Route.Name,
-		Identity: q.Identity(), WasIsolated: q.Isolated,
+		Identity: q.Identity(), Restricted: len(q.Route.Regions) > 0, WasIsolated: q.Isolated,
 	}
 	if a.WasIsolated {
 		s.recordIsolatedAttempt(q, a)
@@ -180,9 +179,10 @@
 	s.recordColdRequest(now, b)
 	s.recordLimited(b)
 	s.spillCounts(b.DataCentre).Exchanges++
+	s.countRestricted(q, b)
 	decision := s.recordSent(now, l.Group, kind)
 	expectedLatency := s.expectedLatency(now, q.Route, b)
-	q.addStep(now, event.Step{Decision: decision, Server: b.ID, Group: l.Group, Expected: expectedLatency})
+	q.addStep(now, event.Step{Decision: decision, Server: b.ID, Group: l.Group, DataCentre: b.DataCentre, Expected: expectedLatency})
 	s.Out.Emit(event.SendExchange{
 		Attempt: a.ID, RequestID: q.RequestID, Server: b.ID, Address: b.Address,
 		Connections: s.connectionLimit(l.Group), FreshConnection: !q.Route.Idempotent, Deadline: q.AnswerBy,
--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -71,6 +71,9 @@
 		s.Counters.EndedRefused++
 		a.Server.Failed(now)
 		if e.Reason == event.RefusedOther {
+			if a.Restricted {
+				s.Counters.AttemptsMisdirected++
+			}
 			for _, c := range s.Servers.Supersede(a.Server) {
 				s.Out.Emit(c)
 			}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -147,6 +147,7 @@
 	if t.Version <= s.table.Version {
 		return false
 	}
+	s.logRegionChanges(s.table, t)
 	s.table = t
 	s.customers.load(t)
 	s.requestCounters.configure(t)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -145,6 +145,8 @@
 	// Route is the name of the route whose service time the attempt is a sample of.
 	Route    string
 	Identity model.Identity
+	// Restricted is set if only the servers of some regions may execute the request.
+	Restricted bool
 	// WasIsolated is set if the request was isolated when the attempt was sent.
 	WasIsolated bool
 	// NotExecuted is set once the server is known not to have executed the request.
@@ -199,6 +201,12 @@
 	// ServersRestarting counts how often this instance found that a server refuses connections, so that
 	// it is cold if it starts again.
 	ServersRestarting uint64 `json:"servers-restarting"`
+	// AttemptsRestricted counts the attempts of requests that only the servers of some regions may execute,
+	// AttemptsMisdirected those of them at whose address another server answered, and AttemptsOutside
+	// those to a region that the active routing table doesn't allow.
+	AttemptsRestricted  uint64 `json:"exchanges-restricted"`
+	AttemptsMisdirected uint64 `json:"exchanges-restricted-misdirected"`
+	AttemptsOutside     uint64 `json:"exchanges-outside-regions"`
 	// LimitsNamed counts how often a server began to name a rate limit or changed it, and
 	// LimitsInvalid the replies with an invalid one. AttemptsLimited counts the attempts to
 	// servers with a rate limit.
--- a/core/roster/copy.go
+++ b/core/roster/copy.go
@@ -4,7 +4,7 @@
 // to its servers don't affect the table.
 func (t *Table) CopyGroups(groups []string) *Table {
 	c := *t
-	c.servers, c.groups = map[string]*Server{}, map[string][]*Server{}
+	c.servers, c.groups, c.addresses = map[string]*Server{}, map[string][]*Server{}, nil
 	for _, name := range groups {
 		if c.groups[name] != nil {
 			continue
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -49,8 +49,9 @@
 // Table holds the servers by directory key and by group.
 type Table struct {
 	servers map[string]*Server
-	// groups holds the servers of each group in order of ID.
-	groups map[string][]*Server
+	// groups holds the servers of each group in order of ID, and addresses those of each address.
+	groups    map[string][]*Server
+	addresses map[string][]*Server
 	// evacuated maps a directory key to the data centre that its entry evacuates.
 	// unconfirmed holds those of the keys that are missing since the directory was restored.
 	evacuated   map[string]string
@@ -73,8 +74,8 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		servers: map[string]*Server{}, groups: map[string][]*Server{}, evacuated: map[string]string{},
-		unconfirmed: map[string]bool{}, departed: map[string]departure{},
+		servers: map[string]*Server{}, groups: map[string][]*Server{}, addresses: map[string][]*Server{},
+		evacuated: map[string]string{}, unconfirmed: map[string]bool{}, departed: map[string]departure{},
 	}
 }
 
@@ -242,7 +243,14 @@
 	at, _ := slices.BinarySearchFunc(group, s, func(a, b *Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	// A caller of Group may still use the old slice.
 	t.groups[r.Group] = slices.Insert(slices.Clone(group), at, s)
-	return stateChange(s, from, "registered")
+	changes := stateChange(s, from, "registered")
+	for _, other := range t.addresses[r.Address] {
+		changes = append(changes, event.StateChanged{
+			Kind: "address", Name: r.Address, From: other.occupant(), To: s.occupant(), Cause: "both are listed",
+		})
+	}
+	t.addresses[r.Address] = append(t.addresses[r.Address], s)
+	return changes
 }
 
 // handleMissing handles a directory entry that is gone. It removes the server at once, or,
@@ -293,7 +301,11 @@
 func (t *Table) remove(key string) {
 	s := t.servers[key]
 	delete(t.servers, key)
-	rest := slices.DeleteFunc(slices.Clone(t.groups[s.Group]), func(o *Server) bool { return o == s })
+	isServer := func(o *Server) bool { return o == s }
+	if t.addresses[s.Address] = slices.DeleteFunc(t.addresses[s.Address], isServer); len(t.addresses[s.Address]) == 0 {
+		delete(t.addresses, s.Address)
+	}
+	rest := slices.DeleteFunc(slices.Clone(t.groups[s.Group]), isServer)
 	if len(rest) == 0 {
 		delete(t.groups, s.Group)
 		return
@@ -315,6 +327,11 @@
 	return stateChange(s, from, "it says so in a reply")
 }
 
+// occupant describes the server in logs of its address.
+func (s *Server) occupant() string {
+	return string(s.ID) + " of group " + s.Group + ", data centre " + s.DataCentre + ", started " + s.Life
+}
+
 // state returns the name of the server's state in logs.
 func (s *Server) state() string {
 	switch {
--- a/io/node/requestlog.go
+++ b/io/node/requestlog.go
@@ -82,6 +82,9 @@
 		if s.Server != "" {
 			line = line.Str("server", string(s.Server))
 		}
+		if s.DataCentre != "" {
+			line = line.Str("data-centre", s.DataCentre)
+		}
 		if s.Expected > 0 {
 			line = line.Dur("expected", s.Expected)
 		}
