core/relay: failing tests of later attempts after the regions of a route have changed

A request keeps the regions of the table of its arrival. Retries, hedges, legs and isolated attempts after a new version go to regions that it doesn't allow.

--- /dev/null
+++ b/core/relay/regions_test.go
@@ -0,0 +1,91 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hyssoppitch/core/event"
+	"hyssoppitch/core/model"
+)
+
+// moveRoute activates a new version of the table, in which only servers of the given regions may execute
+// requests of the route.
+func (w *simulation) moveRoute(regions ...string) {
+	table := *w.Table()
+	table.Version++
+	table.Routes = []model.Route{table.Routes[0]}
+	table.Routes[0].Regions = regions
+	w.Configure(&table)
+}
+
+// arrivalsByRegion counts the arrivals at servers by region.
+func (w *simulation) arrivalsByRegion() map[string]int {
+	out := map[string]int{}
+	w.eachServer(func(_ int, s *simServer) {
+		if n := len(s.arrivals); n > 0 {
+			out[regions[s.dataCentre]] += n
+		}
+	})
+	return out
+}
+
+// TestLaterAttemptsStayInRegionsInForce guards against attempts that go to a region which only the routing
+// table of the request's arrival allows: a request may take longer than a new version to be in force.
+func TestLaterAttemptsStayInRegionsInForce(t *testing.T) {
+	single := singleRoute()
+	single.Idempotent, single.Attempts, single.Timeout, single.Target = true, 3, 8*time.Second, 500*ms
+	gather := gatherRoute()
+	gather.Attempts, gather.Timeout, gather.Target = 3, 8*time.Second, 0
+	tests := []struct {
+		name  string
+		route model.Route
+		// impair changes the servers before the request, and whether its fingerprint is suspected.
+		impair  func(s *simServer)
+		suspect bool
+	}{
+		{"retry after a broken connection", single, func(s *simServer) { s.lossy, s.slowdown = true, 20 }, false},
+		{"retry after a rejection", single, func(s *simServer) { s.shedFraction = 1 }, false},
+		{"hedge", single, func(s *simServer) { s.mute = true }, false},
+		{"legs", gather, func(s *simServer) { s.lossy, s.slowdown = true, 20 }, false},
+		{"hedged legs", gather, func(s *simServer) { s.mute = true }, false},
+		{"isolated attempt", gather, func(s *simServer) { s.lossy, s.slowdown = true, 20 }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route := test.route
+			route.Regions = []string{"r0", "r2"}
+			w := newSimulation(1, 3, route)
+			w.eachServer(func(_ int, s *simServer) { test.impair(s) })
+			if test.suspect {
+				w.Suspects.RecordCrash(w.now, model.Identity{Fingerprint: 7}, false)
+			}
+			w.sendWithFingerprint(7)
+			w.run(5 * ms)
+			before := fmt.Sprint(w.arrivalsByRegion())
+			w.moveRoute("r1")
+			w.run(10 * time.Second)
+			if got, want := fmt.Sprint(w.arrivalsByRegion()), before; got != want {
+				t.Errorf("arrivals by region: got %s, want %s as before the change", got, want)
+			}
+			if len(w.results) != 1 || w.InFlight() != 0 {
+				t.Errorf("got %d answers and %d requests in flight, want one and none", len(w.results), w.InFlight())
+			}
+		})
+	}
+}
+
+// TestRequestWithoutCommonRegionIsRefusedAtOnce guards against a request that waits for its deadline since no
+// region is allowed by the table of its arrival and the active one.
+func TestRequestWithoutCommonRegionIsRefusedAtOnce(t *testing.T) {
+	route := singleRoute()
+	route.Timeout, route.Regions = 8*time.Second, []string{"r0"}
+	w := newSimulation(1, 1, route)
+	w.eachServer(func(_ int, s *simServer) { s.shedFraction = 1 })
+	w.sendRequest()
+	w.moveRoute("r1")
+	w.run(200 * ms)
+	if len(w.results) != 1 || w.results[0].outcome != event.OutcomeNotRun || w.results[0].retry <= 0 {
+		t.Errorf("got %+v, want one refusal as not run, with a time to retry", w.results)
+	}
+}
