core/relay: keep later attempts to the regions that the active table allows

Cause: a request keeps the route of its arrival for all attempts, up to a deadline of 8 s, while a new version is in force within 5 s.

An attempt now needs a region that both the route on arrival and the active table allow. Where there is none, the request is refused as not run and may be sent again.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -243,7 +243,7 @@
 func (s *System) servable(now time.Time, q *Request, l *Leg) bool {
 	// A server whose backoff ends before the caller's next try counts as usable.
 	for _, b := range s.Servers.Group(l.Group) {
-		if s.eligible(q.Route, b) && b.DownUntil.Sub(now) < shortRetryAfter && b.AwayFor(now) < shortRetryAfter {
+		if s.eligible(q, b) && b.DownUntil.Sub(now) < shortRetryAfter && b.AwayFor(now) < shortRetryAfter {
 			return true
 		}
 	}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -40,12 +40,9 @@
 	hedgeAttempt
 )
 
-// eligible reports whether a server is usable and in a region that the route allows.
-func (s *System) eligible(r *model.Route, b *roster.Server) bool {
-	if !s.Servers.Usable(b) || s.excludedVersion(b) {
-		return false
-	}
-	return s.inRegions(r.Regions, b)
+// eligible reports whether a server is usable and in a region that may execute the request.
+func (s *System) eligible(q *Request, b *roster.Server) bool {
+	return s.Servers.Usable(b) && !s.excludedVersion(b) && s.allowsRegion(q, b)
 }
 
 // connectionLimit returns the maximum number of connections that this instance opens to
@@ -104,7 +101,7 @@
 	var minCost time.Duration
 	near := s.beginNear(q, l)
 	for _, b := range s.Servers.Group(l.Group) {
-		if !s.eligible(q.Route, b) {
+		if !s.eligible(q, b) {
 			continue
 		}
 		if near {
@@ -167,7 +164,7 @@
 			Instance: s.Self.ID, Incarnation: s.Self.Incarnation, Query: q.Query, Leg: leg, Number: q.AttemptCount,
 		},
 		Server: b, Leg: leg, SentAt: now, BaselineLatency: s.baselineLatency(q.Route.Name, b.DataCentre), Route: q.Route.Name,
-		Identity: q.Identity(), Restricted: len(q.Route.Regions) > 0, WasIsolated: q.Isolated,
+		Identity: q.Identity(), Restricted: s.restricted(q), WasIsolated: q.Isolated,
 	}
 	if a.WasIsolated {
 		s.recordIsolatedAttempt(q, a)
--- a/core/relay/explain.go
+++ b/core/relay/explain.go
@@ -194,7 +194,7 @@
 		return "it is draining, leaves, or was replaced"
 	case s.excludedVersion(b):
 		return "its version gets no requests"
-	case !s.eligible(q.Route, b):
+	case !s.eligible(q, b):
 		return "the route doesn't allow its region"
 	default:
 		return s.unavailable(now, q, l, b, false)
--- a/core/relay/notice.go
+++ b/core/relay/notice.go
@@ -36,7 +36,7 @@
 // or if none of them has said for how long it doesn't.
 func (s *System) awayWait(now time.Time, q *Request, l *Leg) (wait time.Duration) {
 	for _, b := range s.Servers.Group(l.Group) {
-		if !s.eligible(q.Route, b) {
+		if !s.eligible(q, b) {
 			continue
 		}
 		w := b.AwayFor(now)
@@ -55,7 +55,7 @@
 func (s *System) awaitsReturn(now time.Time, q *Request, l *Leg) bool {
 	found := false
 	for _, b := range s.Servers.Group(l.Group) {
-		if !s.eligible(q.Route, b) {
+		if !s.eligible(q, b) {
 			continue
 		}
 		if b.TakesRequest(now) {
--- a/core/relay/ratelimit.go
+++ b/core/relay/ratelimit.go
@@ -76,7 +76,7 @@
 // if some server is held back by something else, or by nothing.
 func (s *System) legLimitWait(now time.Time, q *Request, l *Leg) (wait time.Duration) {
 	for _, b := range s.Servers.Group(l.Group) {
-		if !s.eligible(q.Route, b) || now.Before(b.DownUntil) {
+		if !s.eligible(q, b) || now.Before(b.DownUntil) {
 			continue
 		}
 		w := s.limitWait(now, b)
--- a/core/relay/regions.go
+++ b/core/relay/regions.go
@@ -52,12 +52,38 @@
 	return strings.Join(regions, " ")
 }
 
+// allowsRegion reports whether a server is in a region that may execute a request: one that its route allowed
+// on arrival, and that the active table allows. A request may take longer than a new version to be in force.
+func (s *System) allowsRegion(q *Request, b *roster.Server) bool {
+	return s.inRegions(q.Route.Regions, b) && s.inRegions(s.regionsInForce(q), b)
+}
+
+// regionsInForce returns the regions that the active table allows for a request, none if it allows all. A
+// table without a route for the request adds no restriction.
+func (s *System) regionsInForce(q *Request) []string {
+	if q.Version == s.table.Version {
+		return q.Route.Regions
+	}
+	if q.inForceVersion != s.table.Version {
+		q.inForceVersion, q.inForce = s.table.Version, nil
+		if r := s.table.Match(q.Host, q.Path); r != nil {
+			q.inForce = r.Regions
+		}
+	}
+	return q.inForce
+}
+
+// restricted reports whether only the servers of some regions may execute a request.
+func (s *System) restricted(q *Request) bool {
+	return len(q.Route.Regions) > 0 || len(s.regionsInForce(q)) > 0
+}
+
 // countRestricted counts an attempt of a request that only the servers of some regions may execute.
 func (s *System) countRestricted(q *Request, b *roster.Server) {
-	if len(q.Route.Regions) > 0 {
+	if s.restricted(q) {
 		s.Counters.AttemptsRestricted++
 	}
-	if r := s.table.Match(q.Host, q.Path); r != nil && !s.inRegions(r.Regions, b) {
+	if !s.inRegions(s.regionsInForce(q), b) {
 		s.Counters.AttemptsOutside++
 	}
 }
--- a/core/relay/rollout.go
+++ b/core/relay/rollout.go
@@ -76,7 +76,7 @@
 // be down.
 func (s *System) anyOnSide(now time.Time, q *Request, l *Leg, d *rollo.Division, side rollo.Side) bool {
 	for _, b := range s.Servers.Group(l.Group) {
-		if d.Side(b.Version) == side && s.eligible(q.Route, b) && !now.Before(b.DownUntil) && !now.Before(b.ColdEnd()) {
+		if d.Side(b.Version) == side && s.eligible(q, b) && !now.Before(b.DownUntil) && !now.Before(b.ColdEnd()) {
 			return true
 		}
 	}
