core/relay: apply the regions of customers

What callers saw: the regions of a customer (allowed-regions of a tenant) were not read, so its requests could reach any server that their route allows. Both lists bind now, on arrival and by the active table for later attempts.

A server whose data centre has no known region gets no restricted requests.

TestRegionsOfCustomerAndRouteBind and TestLaterAttemptsFollowRegionsOfCustomer failed before.

--- a/core/model/customer.go
+++ b/core/model/customer.go
@@ -29,6 +29,9 @@
 	// zero means no limit.
 	RatePerSecond float64
 	Burst         float64
+	// Regions lists the regions whose servers may execute the customer's requests; empty allows all. The
+	// regions of the route bind as well.
+	Regions []string `cbor:",omitempty" json:",omitempty"`
 }
 
 // Valid reports whether the customer has a name, and finite rates of zero or more.
--- a/core/relay/explain.go
+++ b/core/relay/explain.go
@@ -195,7 +195,7 @@
 	case s.excludedVersion(b):
 		return "its version gets no requests"
 	case !s.eligible(q, b):
-		return "the route doesn't allow its region"
+		return "the route or the customer doesn't allow its region"
 	default:
 		return s.unavailable(now, q, l, b, false)
 	}
--- a/core/relay/regions.go
+++ b/core/relay/regions.go
@@ -52,43 +52,67 @@
 	return strings.Join(regions, " ")
 }
 
-// allowsRegion reports whether a server is in a region that may execute a request: one that its route allowed
-// on arrival, and that the active table allows. A request may take longer than a new version to be in force.
-func (s *System) allowsRegion(q *Request, b *roster.Server) bool {
-	return s.inRegions(q.Route.Regions, b) && s.inRegions(s.regionsInForce(q), b)
+// restriction holds the regions that may execute a request: those of its route and those of its customer, both
+// of which bind. None stand for all.
+type restriction struct {
+	route, customer []string
+}
+
+// restrictionOf returns the restriction of a route and a customer, which may be nil.
+func restrictionOf(r *model.Route, c *model.Customer) (out restriction) {
+	if r != nil {
+		out.route = r.Regions
+	}
+	if c != nil {
+		out.customer = c.Regions
+	}
+	return out
+}
+
+// any reports whether only the servers of some regions may execute the request.
+func (r restriction) any() bool { return len(r.route) > 0 || len(r.customer) > 0 }
+
+// allows reports whether the servers of a region may execute the request. An empty name stands for an unknown
+// region, which only a request without a restriction may go to.
+func (r restriction) allows(region string) bool {
+	allowedBy := func(regions []string) bool {
+		return len(regions) == 0 || (region != "" && slices.Contains(regions, region))
+	}
+	return allowedBy(r.route) && allowedBy(r.customer)
 }
 
-// regionsInForce returns the regions that the active table allows for a request, none if it allows all. A
-// table without a route for the request adds no restriction.
-func (s *System) regionsInForce(q *Request) []string {
+// onArrival returns the restriction by the table that was active on the request's arrival.
+func (q *Request) onArrival() restriction { return restrictionOf(q.Route, q.Customer) }
+
+// inForce returns the restriction of a request by the active table. A table that has no route for the request or
+// no customer with its key adds none.
+func (s *System) inForce(q *Request) restriction {
 	if q.Version == s.table.Version {
-		return q.Route.Regions
+		return q.onArrival()
 	}
 	if q.inForceVersion != s.table.Version {
-		q.inForceVersion, q.inForce = s.table.Version, nil
-		if r := s.table.Match(q.Host, q.Path); r != nil {
-			q.inForce = r.Regions
-		}
+		q.inForceVersion = s.table.Version
+		q.inForce = restrictionOf(s.table.Match(q.Host, q.Path), s.customers.byKey[q.Key])
 	}
 	return q.inForce
 }
 
-// restricted reports whether only the servers of some regions may execute a request.
-func (s *System) restricted(q *Request) bool {
-	return len(q.Route.Regions) > 0 || len(s.regionsInForce(q)) > 0
+// allowsRegion reports whether a server is in a region that may execute a request, by the table of its arrival
+// and by the active one: a request may take longer than a new version to be in force.
+func (s *System) allowsRegion(q *Request, b *roster.Server) bool {
+	region := s.Options.Regions[b.DataCentre]
+	return q.onArrival().allows(region) && s.inForce(q).allows(region)
 }
 
+// restricted reports whether only the servers of some regions may execute a request.
+func (s *System) restricted(q *Request) bool { return q.onArrival().any() || s.inForce(q).any() }
+
 // countRestricted counts an attempt of a request that only the servers of some regions may execute.
 func (s *System) countRestricted(q *Request, b *roster.Server) {
 	if s.restricted(q) {
 		s.Counters.AttemptsRestricted++
 	}
-	if !s.inRegions(s.regionsInForce(q), b) {
+	if !s.inForce(q).allows(s.Options.Regions[b.DataCentre]) {
 		s.Counters.AttemptsOutside++
 	}
 }
-
-// inRegions reports whether a server is in one of the regions; none stand for all.
-func (s *System) inRegions(regions []string, b *roster.Server) bool {
-	return len(regions) == 0 || slices.Contains(regions, s.Options.Regions[b.DataCentre])
-}
--- a/core/relay/regions_test.go
+++ b/core/relay/regions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,3 +91,58 @@
 		t.Errorf("got %+v, want one refusal as not run, with a time to retry", w.results)
 	}
 }
+// TestRegionsOfCustomerAndRouteBind guards against requests of a customer that reach a region which only one of
+// its route and the customer itself allows.
+func TestRegionsOfCustomerAndRouteBind(t *testing.T) {
+	tests := []struct {
+		route, customer []string
+		// want lists the regions that may get requests; if there are any, some of them do.
+		want []string
+	}{
+		{nil, []string{"r2"}, []string{"r2"}},
+		{[]string{"r0", "r1"}, []string{"r1", "r2"}, []string{"r1"}},
+		{[]string{"r1"}, nil, []string{"r1"}},
+		{[]string{"r0"}, []string{"r2"}, nil},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.route, test.customer), func(t *testing.T) {
+			route := gatherRoute()
+			route.Regions = test.route
+			w, _ := newCustomerSimulation(route, 0)
+			table := *w.Table()
+			table.Version++
+			table.Customers = []model.Customer{{Name: "a", Keys: []model.KeyDigest{model.DigestOf("ka")}, Regions: test.customer}}
+			w.Configure(&table)
+			for range 40 {
+				w.sendWithKey("/a/x", "ka")
+				w.run(50 * ms)
+			}
+			got := slices.Sorted(maps.Keys(w.arrivalsByRegion()))
+			if !slices.Equal(got, test.want) {
+				t.Errorf("regions with requests: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLaterAttemptsFollowRegionsOfCustomer guards against attempts in a region that the customer has left while
+// the request was in progress.
+func TestLaterAttemptsFollowRegionsOfCustomer(t *testing.T) {
+	w, _ := newCustomerSimulation(gatherRoute(), 0)
+	table := *w.Table()
+	table.Version++
+	table.Customers = []model.Customer{{Name: "a", Keys: []model.KeyDigest{model.DigestOf("ka")}, Regions: []string{"r0", "r2"}}}
+	w.Configure(&table)
+	w.eachServer(func(_ int, s *simServer) { s.mute = true })
+	w.sendWithKey("/a/x", "ka")
+	w.run(5 * ms)
+	before := fmt.Sprint(w.arrivalsByRegion())
+	moved := table
+	moved.Version++
+	moved.Customers = []model.Customer{{Name: "a", Keys: table.Customers[0].Keys, Regions: []string{"r1"}}}
+	w.Configure(&moved)
+	w.run(3 * time.Second)
+	if got, want := fmt.Sprint(w.arrivalsByRegion()), before; got != want {
+		t.Errorf("arrivals by region: got %s, want %s as before the change", got, want)
+	}
+}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -70,8 +70,8 @@
 	// Route and Version are from the routing table that was active on arrival.
 	Route   *model.Route
 	Version uint64
-	// inForce holds the regions that the table of inForceVersion allows for the request.
-	inForce        []string
+	// inForce is the restriction of the request by the table of inForceVersion.
+	inForce        restriction
 	inForceVersion uint64
 	// HasCustomers is set if that table has customers; Customer is the request's customer, or nil.
 	HasCustomers bool
