io/pass: reset a connection whose exchange ended without a complete reply

What callers saw: a server could get a request after the instance had given it up, in a region that the route no longer allows, in an evacuated data centre, or while another server runs the request. Cause: the connection was closed in the ordinary way, so the kernel kept the bytes that a partition held up and delivered them once it ended. Found by the reviewer of the incident; shown with a server whose window has no room, which got the whole request after its deadline, a cancellation and a stop. A reset discards the bytes. The user timeout of 5 s, which is as long as a new version may take, was the only bound before.

TestRequestDoesNotArriveAfterItsExchange failed before.

--- a/core/relay/regions_test.go
+++ b/core/relay/regions_test.go
@@ -91,6 +91,7 @@
 		t.Errorf("got %+v, want one refusal as not run, with a time to retry", w.results)
 	}
 }
+
 // TestRegionsOfCustomerAndRouteBind guards against requests of a customer that reach a region which only one of
 // its route and the customer itself allows.
 func TestRegionsOfCustomerAndRouteBind(t *testing.T) {
--- a/io/pass/connpool.go
+++ b/io/pass/connpool.go
@@ -335,6 +335,16 @@
 	p.release(c.address)
 }
 
+// abort does the same with a reset, which discards the bytes that the kernel still holds: an ordinary close
+// would deliver a request after its exchange, as soon as a partition ends.
+func (p *connPool) abort(c *conn) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	p.drop(c)
+}
+
 // release counts one connection to an address as no longer in use.
 func (p *connPool) release(address string) {
 	p.mu.Lock()
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -91,7 +91,7 @@
 		err = errMemoryFull
 	}
 	if err != nil {
-		b.connPool.drop(conn)
+		b.connPool.abort(conn)
 		end.Kind = failureKind(p.isCancelled() || !time.Now().Before(deadline), err)
 		end.Detail = err.Error()
 		if end.Kind == event.TimedOut {
