core/engine: don't let a late read undo the updates of peers

What callers saw: none reported. A server that drains, or a data centre that is evacuated, could get requests again after the instance's own watch of earlier changes had arrived behind a peer's update (two readers, one at a slow store). Its position stayed that of the peer, so that its copies for others were wrong as well.

A watch whose position is before that of the local copy is passed over; the next one goes on from its own position. TestLateReadDoesNotUndoUpdatesOfPeers failed before. A listing is still applied, whatever its position.

--- a/core/engine/directory.go
+++ b/core/engine/directory.go
@@ -153,6 +153,10 @@
 		e.Emit(event.StateChanged{Kind: "directory", Name: "directory", From: "unreachable", To: "reachable"})
 		e.Roster.MarkReachable(now)
 	}
+	if !v.Full && v.Era == e.directory.position.Era && e.directory.position.After(v.Position) {
+		// Peers have sent these changes and later ones, which they would undo.
+		return
+	}
 	e.applyDirectory(now, v)
 	e.notifyWaitingPeers(now)
 	update := e.newDirectoryUpdate(now, v.Changes, false)
--- a/core/engine/directory_test.go
+++ b/core/engine/directory_test.go
@@ -357,3 +357,27 @@
 		t.Errorf("revision: got %d, want 10, as changes were missed", at.Revision)
 	}
 }
+
+// TestLateReadDoesNotUndoUpdatesOfPeers guards against a server that has left, or an evacuated data centre, that
+// gets requests again since the instance's own read of earlier changes arrives after a peer's update.
+func TestLateReadDoesNotUndoUpdatesOfPeers(t *testing.T) {
+	r := newRoutedInstance("b")
+	r.tick(r.fullRead(routingEntry(1), serverEntry("s1", "dc0"), serverEntry("s2", "dc1")))
+	r.link("a")
+	draining := serverEntry("s1", "dc0")
+	draining.Server.Draining = true
+	evacuation := event.DirectoryChange{Key: "op/evacuate/dc1", Evacuated: "dc1"}
+	r.receiveUpdate("a", event.DirectoryUpdate{BaseRevision: 10, Revision: 14, Changes: []event.DirectoryChange{draining, evacuation}})
+	late := []event.DirectoryChange{serverEntry("s1", "dc0"), {Key: "op/evacuate/dc1"}}
+	r.tick(event.DirectoryRead{Changes: late, Position: event.Position{Revision: 12}, AsOf: r.now})
+	for _, s := range r.Roster.Group("g") {
+		if r.Roster.Usable(s) {
+			t.Errorf("server %s in %s: got usable, want not", s.ID, s.DataCentre)
+		}
+	}
+	// What follows is read as usual.
+	r.tick(event.DirectoryRead{Changes: []event.DirectoryChange{{Key: "op/evacuate/dc1"}}, Position: event.Position{Revision: 15}, AsOf: r.now})
+	if got, want := r.Roster.Evacuated("dc1"), false; got != want {
+		t.Errorf("evacuated after the next read: got %v, want %v", got, want)
+	}
+}
