core/relay: refuse held requests that a new table leaves without a region

They are refused as not run when they are next to be admitted. The case "held" of TestRequestWithoutCommonRegionIsRefusedAtOnce failed before.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -114,6 +114,12 @@
 	}
 	servers, blocked := s.chooseServers(now, q)
 	if blocked != "" {
+		if reason := s.unsatisfiable(now, q); reason != "" && q.Version != s.table.Version {
+			// A new table allows none of the regions that could serve it.
+			s.shed.drop(q)
+			s.refuse(now, q, event.RefuseNoReplica, s.retryAfter(now, q, shortRetryAfter), reason)
+			return
+		}
 		if s.keptByLimits(now, q) {
 			s.refuse(now, q, event.RefuseOverload, s.retryAfter(now, q, longRetryAfter), blocked+"; their servers are at their rate limits")
 			return
--- a/core/relay/regions_test.go
+++ b/core/relay/regions_test.go
@@ -77,18 +77,48 @@
 	}
 }
 
-// TestRequestWithoutCommonRegionIsRefusedAtOnce guards against a request that waits for its deadline since no
-// region is allowed by the table of its arrival and the active one.
+// TestRequestWithoutCommonRegionIsRefusedAtOnce guards against a request that waits for its deadline, or for as long
+// as it may be held, since no region is allowed by the table of its arrival and the active one.
 func TestRequestWithoutCommonRegionIsRefusedAtOnce(t *testing.T) {
-	route := singleRoute()
-	route.Timeout, route.Regions = 8*time.Second, []string{"r0"}
-	w := newSimulation(1, 1, route)
-	w.eachServer(func(_ int, s *simServer) { s.shedFraction = 1 })
-	w.sendRequest()
-	w.moveRoute("r1")
-	w.run(200 * ms)
-	if len(w.results) != 1 || w.results[0].outcome != event.OutcomeNotRun || w.results[0].retry <= 0 {
-		t.Errorf("got %+v, want one refusal as not run, with a time to retry", w.results)
+	single := singleRoute()
+	single.Timeout = 8 * time.Second
+	gather := gatherRoute()
+	gather.Timeout, gather.Target = 8*time.Second, 4*time.Second
+	tests := []struct {
+		name  string
+		route model.Route
+		// requests are sent at once, as many as are needed to hold some of them.
+		requests int
+	}{
+		{"single", single, 1},
+		{"held", gather, 300},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route := test.route
+			route.Regions = []string{"r0"}
+			w := newSimulation(1, 1, route)
+			w.eachServer(func(_ int, s *simServer) { s.shedFraction, s.mute = 1, true })
+			if test.requests > 1 {
+				w.eachServer(func(_ int, s *simServer) { s.shedFraction = 0 })
+			}
+			for range test.requests {
+				w.sendRequest()
+			}
+			before := len(w.arrivalsByRegion())
+			w.moveRoute("r1")
+			w.run(200 * ms)
+			running := 0
+			w.eachServer(func(_ int, s *simServer) { running += len(s.open) })
+			if got, want := len(w.results), test.requests-running; got != want || before != 1 {
+				t.Fatalf("got %d refusals, %d requests in progress and arrivals in %d regions, want %d refusals and one region", got, running, before, want)
+			}
+			for _, r := range w.results {
+				if r.refusal == "" || r.outcome != event.OutcomeNotRun || r.retry <= 0 {
+					t.Fatalf("got %+v, want a refusal as not run, with a time to retry", r)
+				}
+			}
+		})
 	}
 }
 
