--- a/core/relay/explain.go
+++ b/core/relay/explain.go
@@ -194,8 +194,8 @@
 		return "it is draining, leaves, or was replaced"
 	case s.excludedVersion(b):
 		return "its version gets no requests"
-	case !s.eligible(q.Route, b):
-		return "the route doesn't allow its region"
+	case !s.eligible(q, b):
+		return "the route or the customer doesn't allow its region"
 	default:
 		return s.unavailable(now, q, l, b, false)
 	}
