core/relay: explain with the regions of the customer

The explanation of a request named servers that the regions of its customer rule out. The customer is part of the explained request now. TestExplanationNamesRegionsOfCustomer failed before.

--- a/core/model/route.go
+++ b/core/model/route.go
@@ -105,6 +105,16 @@
 	return Pool{Group: group}
 }
 
+// Customer returns the customer with a name, or nil.
+func (t *RoutingTable) Customer(name string) *Customer {
+	for i := range t.Customers {
+		if t.Customers[i].Name == name {
+			return &t.Customers[i]
+		}
+	}
+	return nil
+}
+
 // Groups returns the groups that a request of the route may be sent to.
 func (r *Route) Groups() []string {
 	if len(r.Gather) > 0 {
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -176,7 +176,7 @@
 	s.recordColdRequest(now, b)
 	s.recordLimited(b)
 	s.spillCounts(b.DataCentre).Exchanges++
-	s.countRestricted(q, b)
+	s.countRestricted(q, a)
 	decision := s.recordSent(now, l.Group, kind)
 	expectedLatency := s.expectedLatency(now, q.Route, b)
 	q.addStep(now, event.Step{Decision: decision, Server: b.ID, Group: l.Group, DataCentre: b.DataCentre, Expected: expectedLatency})
--- a/core/relay/explain.go
+++ b/core/relay/explain.go
@@ -126,9 +126,10 @@
 		Idempotent: route.Idempotent, TargetMs: route.Target.Milliseconds(),
 	}
 	if question.Customer != "" {
-		if x.Customer = s.explainCustomer(now, question.Customer); x.Customer == nil {
+		if q.Customer = s.table.Customer(question.Customer); q.Customer == nil {
 			return x, fmt.Errorf("unknown customer %q in version %d", question.Customer, s.table.Version)
 		}
+		x.Customer = s.explainCustomer(now, q.Customer)
 	}
 	available := 0
 	for _, group := range route.Groups() {
@@ -143,23 +144,16 @@
 	return x, nil
 }
 
-// explainCustomer returns what is known of a customer, or nil if there is none of that name.
-func (s *System) explainCustomer(now time.Time, name string) *ExplainedCustomer {
-	for i := range s.table.Customers {
-		t := &s.table.Customers[i]
-		if t.Name != name {
-			continue
-		}
-		x := &ExplainedCustomer{Name: t.Name, Priority: t.Priority, Limited: t.RatePerSecond > 0}
-		if x.Limited && s.Usage != nil {
-			sum := s.Usage.Fleet(now, usage.Key{Kind: usage.Admitted, Name: t.Name})
-			x.Quota = t.RatePerSecond*s.Usage.Window(usage.Admitted).Seconds() + max(0, t.Burst)
-			x.Used, x.Current = sum.Events(), sum.Fresh
-			x.Left = max(0, x.Quota-float64(x.Used))
-		}
-		return x
+// explainCustomer returns what is known of a customer.
+func (s *System) explainCustomer(now time.Time, t *model.Customer) *ExplainedCustomer {
+	x := &ExplainedCustomer{Name: t.Name, Priority: t.Priority, Limited: t.RatePerSecond > 0}
+	if x.Limited && s.Usage != nil {
+		sum := s.Usage.Fleet(now, usage.Key{Kind: usage.Admitted, Name: t.Name})
+		x.Quota = t.RatePerSecond*s.Usage.Window(usage.Admitted).Seconds() + max(0, t.Burst)
+		x.Used, x.Current = sum.Events(), sum.Fresh
+		x.Left = max(0, x.Quota-float64(x.Used))
 	}
-	return nil
+	return x
 }
 
 // explainGroup explains the decision for one leg. It is called on a copy.
--- a/core/relay/regions.go
+++ b/core/relay/regions.go
@@ -10,7 +10,8 @@
 	"hyssoppitch/core/roster"
 )
 
-// This file logs and counts what is restricted to the servers of some regions.
+// This file keeps requests to the servers of the regions that may execute them, and logs and counts what is so
+// restricted.
 
 // maxRegionChanges is the maximum number of routes that are logged one by one when a new routing table
 // changes their regions.
@@ -107,12 +108,13 @@
 // restricted reports whether only the servers of some regions may execute a request.
 func (s *System) restricted(q *Request) bool { return q.onArrival().any() || s.inForce(q).any() }
 
-// countRestricted counts an attempt of a request that only the servers of some regions may execute.
-func (s *System) countRestricted(q *Request, b *roster.Server) {
-	if s.restricted(q) {
-		s.Counters.AttemptsRestricted++
+// countRestricted counts an attempt if only the servers of some regions may execute its request.
+func (s *System) countRestricted(q *Request, a *Attempt) {
+	if !a.Restricted {
+		return
 	}
-	if !s.inForce(q).allows(s.Options.Regions[b.DataCentre]) {
+	s.Counters.AttemptsRestricted++
+	if !s.inForce(q).allows(s.Options.Regions[a.Server.DataCentre]) {
 		s.Counters.AttemptsOutside++
 	}
 }
--- a/core/relay/regions_test.go
+++ b/core/relay/regions_test.go
@@ -9,6 +9,7 @@
 
 	"hyssoppitch/core/event"
 	"hyssoppitch/core/model"
+	"hyssoppitch/core/relay"
 )
 
 // moveRoute activates a new version of the table, in which only servers of the given regions may execute
@@ -177,3 +178,24 @@
 		t.Errorf("arrivals by region: got %s, want %s as before the change", got, want)
 	}
 }
+
+// TestExplanationNamesRegionsOfCustomer guards against an explanation that has servers get requests of a customer
+// that its regions rule out.
+func TestExplanationNamesRegionsOfCustomer(t *testing.T) {
+	w, _ := newCustomerSimulation(gatherRoute(), 0)
+	table := *w.Table()
+	table.Version++
+	table.Customers = []model.Customer{{Name: "a", Keys: []model.KeyDigest{model.DigestOf("ka")}, Regions: []string{"r2"}}}
+	w.Configure(&table)
+	x, err := w.Explain(w.now, relay.Question{Host: "h", Path: "/a/x", Customer: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range x.Groups {
+		for _, b := range g.Servers {
+			if got, want := b.Excluded == "", b.DataCentre == "dc2"; got != want {
+				t.Errorf("server %s in %s: got excluded %q, want allowed %t", b.ID, b.DataCentre, b.Excluded, want)
+			}
+		}
+	}
+}
