Bound the memory of an instance without a machine in its settings

Callers saw an instance end: without machine.memory-mb the budget was that of 1 GiB, the collector had no limit, and neither requests in progress nor socket buffers had one, however little the process may use.

Cause: PlanFor took a memory of 0 for "not bounded".

The line memory-found has source and bytes.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -36,8 +36,8 @@
 		_, _ = fmt.Fprintf(s.out, "%s: ok\n", c.Settings)
 		return nil
 	}
-	if limit := node.MemoryLimit(settings); limit > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(limit)
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(node.MemoryLimit(settings))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -11,11 +11,24 @@
 	"time"
 )
 
-// client is what one client of a crowd sends before it falls silent. It never reads.
+// client is what one client of a crowd sends before it falls silent. It never reads, unless it is slow.
 type client struct {
 	// text is sent once, and then endless up to repeats times.
 	text, endless string
 	repeats       int
+	// slow is set if it reads the answers, a few bytes at a time.
+	slow bool
+}
+
+// readSlowly reads what arrives until the connection is closed.
+func readSlowly(c net.Conn) {
+	var piece [64]byte
+	for {
+		if _, err := c.Read(piece[:]); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 const (
@@ -25,11 +38,11 @@
 	connections = 300
 )
 
-// repeated returns lines that are made from a format and a number.
-func repeated(format string, n int) string {
+// headerNames returns empty header lines of different names.
+func headerNames(n int) string {
 	var out strings.Builder
 	for i := range n {
-		fmt.Fprintf(&out, format, i)
+		fmt.Fprintf(&out, "h%d:\r\n", i)
 	}
 	return out.String()
 }
@@ -38,10 +51,15 @@
 // keeps their connections open until the test ends. descriptorPeak is the maximum number of
 // descriptors that the instance had open meanwhile.
 func (in *instance) send(t *testing.T, address string, n int, c client) (descriptorPeak int) {
+	t.Helper()
+	return in.sendParallel(t, address, n, 32, c)
+}
+
+// sendParallel does the same with a number of clients that send at a time.
+func (in *instance) sendParallel(t *testing.T, address string, n, parallel int, c client) (descriptorPeak int) {
 	t.Helper()
 	var group sync.WaitGroup
-	// Of these clients, 32 send at a time.
-	slots := make(chan struct{}, 32)
+	slots := make(chan struct{}, parallel)
 	var mu sync.Mutex
 	var open []net.Conn
 	t.Cleanup(func() {
@@ -61,6 +79,9 @@
 			mu.Lock()
 			open = append(open, conn)
 			mu.Unlock()
+			if c.slow {
+				go readSlowly(conn)
+			}
 			// A client that isn't read from would block here. It stays connected.
 			_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
 			_, err = conn.Write([]byte(c.text))
@@ -90,7 +111,7 @@
 	if got, want := memory, int64(in.memoryMB<<20); got > want {
 		t.Errorf("peak memory: got %d bytes, want at most %d", got, want)
 	}
-	if got, want := descriptorPeak, descriptors; got > want {
+	if got, want := descriptorPeak, in.descriptors; got > want {
 		t.Errorf("open descriptors: got %d, want at most %d", got, want)
 	}
 	select {
@@ -113,10 +134,10 @@
 	{"whole bodies", connections, client{text: head + "Content-Length: 262144\r\n\r\n" + strings.Repeat("x", 262_144)}},
 	{"whole bodies one after the other", connections / 3, client{endless: head + "Content-Length: 262144\r\n\r\n" + strings.Repeat("x", 262_144), repeats: 10}},
 	{"legal head of many empty lines", connections, client{text: head + strings.Repeat("a:\r\n", 16_000)}},
-	{"legal head of many names", connections, client{text: head + repeated("h%d:\r\n", 7_000)}},
+	{"legal head of many names", connections, client{text: head + headerNames(7_000)}},
 	{"legal head of many odd lines", connections, client{text: head + "a:\r\n" + strings.Repeat(" x\r\n", 15_000)}},
 	{"whole requests of many empty lines", connections, client{text: get + strings.Repeat("a:\r\n", 16_000) + "\r\n"}},
-	{"whole requests of many names", connections, client{text: get + repeated("h%d:\r\n", 7_000) + "\r\n"}},
+	{"whole requests of many names", connections, client{text: get + headerNames(7_000) + "\r\n"}},
 	{"answers that are never read", connections, client{endless: strings.Repeat("GET /read HTTP/1.1\r\nHost: crowd.example\r\n\r\n", 100), repeats: 100}},
 	{"idle connections beyond the descriptors", 2 * descriptors, client{}},
 }
--- a/internal/crowd/instance_test.go
+++ b/internal/crowd/instance_test.go
@@ -60,8 +60,27 @@
 	// listen, control, ready and metrics are the addresses of its listeners.
 	listen, control, ready, metrics string
 	routed                          bool
-	// memoryMB is the memory of its machine.
-	memoryMB int
+	machine
+}
+
+// machine is what an instance may use.
+type machine struct {
+	memoryMB, descriptors int
+	// limited is set if limits on the process say so, and not its settings. The memory is the limit on its data then,
+	// which the kernel enforces and which counts what is mapped.
+	limited bool
+}
+
+// command returns the command that runs an instance on the machine.
+func (m machine) command(settings string) *exec.Cmd {
+	if !m.limited {
+		return exec.Command(program, "serve", "--settings", settings)
+	}
+	limits := fmt.Sprintf(`ulimit -n %d && ulimit -d %d && exec "$0" "$@"`, m.descriptors, m.memoryMB<<10)
+	c := exec.Command("sh", "-c", limits, program, "serve", "--settings", settings)
+	// The stacks of threads count as data, of which there are as many as processors.
+	c.Env = append(os.Environ(), "GOMAXPROCS=4")
+	return c
 }
 
 // lockedBuffer keeps the end of the output of a process.
@@ -122,15 +141,23 @@
 
 // startInstanceOn does the same for a machine with the given memory, and with a name.
 func startInstanceOn(t *testing.T, memory int, name, store string, routed bool, seeds ...string) *instance {
+	t.Helper()
+	return startInstanceOf(t, machine{memoryMB: memory, descriptors: descriptors}, name, store, routed, seeds...)
+}
+
+// startInstanceOf does the same for any machine.
+func startInstanceOf(t *testing.T, m machine, name, store string, routed bool, seeds ...string) *instance {
 	t.Helper()
 	in := &instance{
 		listen: freeAddress(t), control: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t),
-		routed: routed, memoryMB: memory, ended: make(chan struct{}), output: &lockedBuffer{},
+		routed: routed, machine: m, ended: make(chan struct{}), output: &lockedBuffer{},
 	}
 	settings := map[string]any{
 		"instance": name, "data-centre": "bay", "listen": in.listen, "control": in.control,
 		"store": store, "metrics": in.metrics, "seeds": append([]string{}, seeds...),
-		"machine": map[string]any{"memory-mb": memory, "descriptors": descriptors},
+	}
+	if !m.limited {
+		settings["machine"] = map[string]any{"memory-mb": m.memoryMB, "descriptors": m.descriptors}
 	}
 	if routed {
 		settings["routed"] = map[string]any{"enabled": true, "ready": in.ready}
@@ -143,7 +170,7 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	in.cmd = exec.Command(program, "serve", "--settings", path)
+	in.cmd = m.command(path)
 	in.cmd.Stdout, in.cmd.Stderr = in.output, in.output
 	if err := in.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -277,7 +304,15 @@
 
 // unreadBytes returns the number of bytes that have arrived at the sockets of the process and that it has
 // not read.
-func (in *instance) unreadBytes(t *testing.T) (sum int64) {
+func (in *instance) unreadBytes(t *testing.T) int64 {
+	t.Helper()
+	unread, _ := in.socketBytes(t)
+	return unread
+}
+
+// socketBytes returns the number of bytes that the sockets of the process hold: unread ones, and those that were
+// not taken by the other side.
+func (in *instance) socketBytes(t *testing.T) (unread, unsent int64) {
 	t.Helper()
 	dir := fmt.Sprintf("/proc/%d/fd/", in.cmd.Process.Pid)
 	entries, err := os.ReadDir(dir)
@@ -302,12 +337,12 @@
 		if len(fields) < 10 || !sockets[fields[9]] {
 			continue
 		}
-		_, unread, _ := strings.Cut(fields[4], ":")
-		n, err := strconv.ParseInt(unread, 16, 64)
-		if err != nil {
+		var out, in int64
+		if _, err := fmt.Sscanf(fields[4], "%x:%x", &out, &in); err != nil {
 			t.Fatalf("/proc/net/tcp: %q: %v", line, err)
 		}
-		sum += n
+		unread += in
+		unsent += out
 	}
-	return sum
+	return unread, unsent
 }
--- a/internal/crowd/server_test.go
+++ b/internal/crowd/server_test.go
@@ -57,7 +57,7 @@
 var faultyReplies = func() []faultyReply {
 	block := strings.Repeat("x", 32<<10)
 	lines := strings.Repeat("a:\r\n", 1000)
-	names := repeated("h%d:\r\n", 7_000)
+	names := headerNames(7_000)
 	chunked := okHead + "Transfer-Encoding: chunked\r\n\r\n"
 	long := okHead + "Content-Length: 16000000\r\n\r\n"
 	return []faultyReply{
--- a/io/node/clients.go
+++ b/io/node/clients.go
@@ -18,16 +18,24 @@
 	serverHeaderBytes = 64 << 20
 )
 
+// memoryOf returns the memory that the settings give the process, or what the operating system lets it use.
+func memoryOf(s setup.Settings) guard.Memory {
+	if s.Machine.MemoryMB > 0 {
+		return guard.Memory{Bytes: int64(s.Machine.MemoryMB * (1 << 20)), Source: "machine.memory-mb"}
+	}
+	return guard.SystemMemory()
+}
+
 // planOf returns how the machine that the settings describe is divided.
 func planOf(s setup.Settings) guard.Plan {
-	p := guard.PlanFor(int64(s.Machine.MemoryMB*(1<<20)), s.Machine.Descriptors)
+	p := guard.PlanFor(memoryOf(s).Bytes, s.Machine.Descriptors)
 	if s.Callers.Connections > 0 {
 		p.Callers = s.Callers.Connections
 	}
 	return p
 }
 
-// MemoryLimit returns the limit for the garbage collector that fits the settings, or 0.
+// MemoryLimit returns the limit for the garbage collector that fits the settings.
 func MemoryLimit(s setup.Settings) int64 { return planOf(s).MemoryLimit }
 
 // NewGuard returns what bounds the memory of clients and replies by the settings.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -98,6 +98,8 @@
 	// closing is set when all requests have been answered and the callers' connections are
 	// about to be closed: requests that still arrive are refused.
 	closing atomic.Bool
+	// memory is what the process may use.
+	memory guard.Memory
 	// guard bounds what the clients of all listeners use.
 	guard *guard.Guard
 	// shutdown holds the shutdown settings, which may be reloaded.
@@ -223,6 +225,7 @@
 		stopped: make(chan struct{}), waiters: newWaiters[waiter](),
 		stats: stats.New(), fetchSlots: make(chan struct{}, maxFetches),
 	}
+	n.memory = memoryOf(s)
 	n.guardListeners(s, d, plan)
 	n.shutdown.Store(&s.Shutdown)
 	// Seeds are dialed until the engine decides.
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -40,6 +40,7 @@
 	n.log.Info().Str("instance", string(n.self.ID)).Uint64("incarnation", uint64(n.self.Incarnation)).
 		Str("data-centre", n.self.DataCentre).Str("listen", n.Address()).Str("control", n.ControlAddress()).
 		Bool("routed", n.routed != nil).Msg("instance-started")
+	n.log.Info().Str("instance", string(n.self.ID)).Str("source", n.memory.Source).Int64("bytes", n.memory.Bytes).Msg("memory-found")
 	defer func() {
 		n.log.Info().Str("instance", string(n.self.ID)).Err(err).Msg("instance-stopped")
 	}()
--- a/io/setup/machine.go
+++ b/io/setup/machine.go
@@ -10,7 +10,7 @@
 // from it.
 type Machine struct {
 	// MemoryMB may have a fraction, as platforms divide machines.
-	MemoryMB    float64 `json:"memory-mb" help:"memory of the process and its sockets, in units of 2^20 bytes" want:"32 or more; 0: not bounded"`
+	MemoryMB    float64 `json:"memory-mb" help:"memory of the process and its sockets, in units of 2^20 bytes" want:"32 or more; 0: what the operating system lets the process use"`
 	Descriptors int     `json:"descriptors" help:"descriptors that the process may have open" want:"128 or more; 0: as many as the operating system allows"`
 }
 
@@ -32,7 +32,7 @@
 func (m *Machine) check(ps *conf.Problems) {
 	// The comparison is false for a number that is not finite, too.
 	if m.MemoryMB != 0 && !(m.MemoryMB >= minMemoryMB && m.MemoryMB <= maxMemoryMB) {
-		ps.Add("machine.memory-mb", m.MemoryMB, "32 or more; 0: not bounded")
+		ps.Add("machine.memory-mb", m.MemoryMB, "32 or more; 0: what the operating system lets the process use")
 	}
 	if m.Descriptors != 0 && (m.Descriptors < minDescriptors || m.Descriptors > math.MaxInt32) {
 		ps.Add("machine.descriptors", m.Descriptors, "128 or more; 0: as many as the operating system allows")
