internal/crowd: show why a process ended

When a process ended in a crowd, tests failed with an unreadable file of /proc, or with the end of a long dump.

No check has changed.

--- a/internal/crowd/instance_test.go
+++ b/internal/crowd/instance_test.go
@@ -83,7 +83,7 @@
 	return c
 }
 
-// lockedBuffer keeps the end of the output of a process.
+// lockedBuffer keeps the output of a process.
 type lockedBuffer struct {
 	mu   sync.Mutex
 	data bytes.Buffer
@@ -95,11 +95,29 @@
 	return b.data.Write(p)
 }
 
+// String returns the end of the output, or the begin of what the runtime says when it ends the process.
 func (b *lockedBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	text := b.data.String()
-	return text[max(0, len(text)-4000):]
+	const limit = 4000
+	for _, start := range []string{"\nfatal error: ", "\nruntime: "} {
+		if _, rest, ok := strings.Cut(text, start); ok {
+			return start + rest[:min(len(rest), limit)]
+		}
+	}
+	return text[max(0, len(text)-limit):]
+}
+
+// fail ends a test that can't read what the system says of the process, mostly since it ended.
+func (in *instance) fail(t *testing.T, err error) {
+	t.Helper()
+	select {
+	case <-in.ended:
+		t.Fatalf("the process ended\n%s", in.output)
+	case <-time.After(time.Second):
+		t.Fatalf("%v\n%s", err, in.output)
+	}
 }
 
 // lastPort is the last port that freeAddress returned, guarded by portMu. The ports are below the range of outgoing
@@ -281,13 +299,13 @@
 	t.Helper()
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", in.cmd.Process.Pid))
 	if err != nil {
-		t.Fatalf("%v\n%s", err, in.output)
+		in.fail(t, err)
 	}
 	_, rest, _ := strings.Cut(string(data), field)
 	line, _, _ := strings.Cut(rest, "\n")
 	kb, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(line, "kB")), 10, 64)
 	if err != nil {
-		t.Fatalf("%s %q: %v", field, line, err)
+		in.fail(t, fmt.Errorf("%s %q: %w", field, line, err))
 	}
 	return kb << 10
 }
@@ -297,7 +315,7 @@
 	t.Helper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", in.cmd.Process.Pid))
 	if err != nil {
-		t.Fatalf("%v\n%s", err, in.output)
+		in.fail(t, err)
 	}
 	return len(entries)
 }
@@ -317,7 +335,7 @@
 	dir := fmt.Sprintf("/proc/%d/fd/", in.cmd.Process.Pid)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		t.Fatalf("%v\n%s", err, in.output)
+		in.fail(t, err)
 	}
 	sockets := map[string]bool{}
 	for _, e := range entries {
@@ -329,7 +347,7 @@
 	}
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", in.cmd.Process.Pid))
 	if err != nil {
-		t.Fatal(err)
+		in.fail(t, err)
 	}
 	for line := range strings.Lines(string(data)) {
 		// The fifth field has the bytes to be sent and to be read, the tenth the inode.
