io/guard: charge requests that are sent ahead

Clients that send requests one after the other and read no answer made an instance and its sockets hold more than its machine has.

Cause: at the end of each request a connection counted as one without a request, so that all open ones shared the places of those in progress, and none was closed or refused. Each keeps its socket buffers full, which nothing counted: of 67,628 KB with 600 clients on 65,536 KB, 32,207 were unread bytes.

Such a connection now keeps its place until the client has sent no more, and four socket buffers are charged to the budget for it before its next request is executed. It is detected by what was read already; only where bytes arrive before the answer is complete is there a system call (TIOCINQ), and no lock is added to ordinary requests.

TestRequestsSentAheadAreCharged and TestRequestsSentAheadDontExceedTheBudget failed before (nothing was charged).

--- a/io/guard/account.go
+++ b/io/guard/account.go
@@ -243,8 +243,16 @@
 func (g *Guard) discharge(h holder, n int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.reduce(h, n)
+}
+
+// reduce does the same. The caller holds g.mu.
+func (g *Guard) reduce(h holder, n int64) {
 	a := h.charged()
 	n = min(n, a.held)
+	if n <= 0 {
+		return
+	}
 	a.held -= n
 	g.held -= n
 	if a.held == 0 {
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -57,6 +57,12 @@
 	// headBytes and headLines count what arrived since the last request, and headCharged is
 	// the part of its cost that was charged.
 	headBytes, headLines, headCharged int64
+	// sentAhead is set if more requests had arrived when the last one was answered, and ahead while such requests
+	// are charged.
+	sentAhead, ahead bool
+
+	// early is set once a byte has arrived during a request, after its body.
+	early atomic.Bool
 
 	// The following fields are guarded by guard.mu.
 
@@ -123,7 +129,7 @@
 // http.StateActive doesn't: net/http skips it for a pipelined request that is in its buffer.
 func Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil && !c.begin() {
+		if c := ConnOf(r.Context()); c != nil && (!c.begin() || !c.chargeAhead()) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", retryAfter)
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -166,18 +172,25 @@
 		c.active = false
 		c.listener.active--
 	}
+	c.dropAhead()
 }
 
 // end is called when a request was answered and the connection is kept.
 func (c *Conn) end() {
 	c.headBytes, c.headLines, c.headCharged = 0, 0, 0
 	c.phase.Store(int32(phaseHead))
+	// A client that has just read its answer may send one more request before the background read of net/http ends.
+	c.sentAhead = c.early.Swap(false) && c.unread() > freeBytes
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.closed {
 		return
 	}
+	if c.ahead {
+		g.reduce(c, c.held-g.aheadBytes())
+		return
+	}
 	g.drop(c)
 	if c.active {
 		c.active = false
@@ -190,6 +203,9 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	for {
+		if c.isDrained() {
+			c.leaveAhead()
+		}
 		n, err = c.Conn.Read(p)
 		if n <= 0 {
 			return n, err
@@ -199,6 +215,9 @@
 			c.received.Add(int64(n))
 			return n, err
 		case phaseHead:
+		case phaseRun:
+			c.early.Store(true)
+			return n, err
 		default:
 			return n, err
 		}
