core/roster: bound the work for servers that are listed at one address

Cause: compared each new server with all others at its address and logged each pair, so 8,000 entries of one page made 32 million lines. Another writer can list any number of them.

An address has one record now, with the server that started last. Changes take constant time; the record is computed again only after that server has left or another one has answered for it.

--- a/core/roster/address_test.go
+++ b/core/roster/address_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 
 	"hyssoppitch/core/event"
@@ -50,3 +51,24 @@
 		})
 	}
 }
+
+// TestManyServersAtOneAddress guards against an instance that hangs since another writer lists thousands of servers
+// at one address, and removes them.
+func TestManyServersAtOneAddress(t *testing.T) {
+	const n = 4000
+	table := roster.New()
+	var listed, removed []event.DirectoryChange
+	for i := range n {
+		c := server(fmt.Sprint(i), fmt.Sprintf("%06d", i), "a", false)
+		listed, removed = append(listed, c), append(removed, event.DirectoryChange{Key: c.Key})
+	}
+	for _, changes := range [][]event.DirectoryChange{listed, listed, removed} {
+		got := len(table.Apply(start, event.DirectoryRead{Changes: changes}))
+		if want := 2 * n; got > want {
+			t.Errorf("changes of state: got %d, want at most %d", got, want)
+		}
+	}
+	if got := table.Len(); got != 0 {
+		t.Errorf("servers: got %d, want none", got)
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,22 +39,21 @@
 	// Superseded is set once another server answered at the address: this one is gone. Logs
 	// call such a server disowned.
 	Superseded bool
-	// AddressTaken is set while a server that started later is listed at the address. Logs call such a
-	// server replaced.
-	AddressTaken bool
 	// Leaving is set once the server has said in a reply that it leaves, whatever its entry
 	// says.
 	Leaving bool
 
+	// address is the record of the server's address.
+	address *address
 	Health
 }
 
 // Table holds the servers by directory key and by group.
 type Table struct {
 	servers map[string]*Server
-	// groups holds the servers of each group in order of ID, and addresses those of each address.
+	// groups holds the servers of each group in order of ID.
 	groups    map[string][]*Server
-	addresses map[string][]*Server
+	addresses map[string]*address
 	// evacuated maps a directory key to the data centre that its entry evacuates.
 	// unconfirmed holds those of the keys that are missing since the directory was restored.
 	evacuated   map[string]string
@@ -77,7 +76,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		servers: map[string]*Server{}, groups: map[string][]*Server{}, addresses: map[string][]*Server{},
+		servers: map[string]*Server{}, groups: map[string][]*Server{}, addresses: map[string]*address{},
 		evacuated: map[string]string{}, unconfirmed: map[string]bool{}, departed: map[string]departure{},
 	}
 }
@@ -113,7 +112,7 @@
 
 // Usable reports whether a server may get requests.
 func (t *Table) Usable(s *Server) bool {
-	return !s.Draining && !s.Superseded && !s.Leaving && !s.AddressTaken && !t.Evacuated(s.DataCentre)
+	return !s.Draining && !s.Superseded && !s.Leaving && !s.addressTaken() && !t.Evacuated(s.DataCentre)
 }
 
 // MarkUnreachable records that the directory didn't answer. It reports whether the
@@ -232,10 +231,9 @@
 		return stateChange(old, from, "registered")
 	}
 	from := "unlisted"
-	var changes []event.StateChanged
 	if old != nil {
 		from = old.state()
-		changes = t.remove(key)
+		t.remove(key)
 	}
 	s := &Server{Registration: r, Key: key, ReportKey: report.Key(r.ID, r.Life), ColdUntil: now.Add(r.ColdFor)}
 	if d, ok := t.departed[key]; ok && d.life == r.Life {
@@ -247,33 +245,8 @@
 	at, _ := slices.BinarySearchFunc(group, s, func(a, b *Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	// A caller of Group may still use the old slice.
 	t.groups[r.Group] = slices.Insert(slices.Clone(group), at, s)
-	changes = append(changes, stateChange(s, from, "registered")...)
-	for _, other := range t.addresses[r.Address] {
-		changes = append(changes, event.StateChanged{
-			Kind: "address", Name: r.Address, From: other.occupant(), To: s.occupant(), Cause: "both are listed",
-		})
-	}
-	t.addresses[r.Address] = append(t.addresses[r.Address], s)
-	return append(changes, t.updateOccupants(r.Address)...)
-}
-
-// updateOccupants sets AddressTaken of the servers that are listed at an address. The entry of a server that has
-// ended stays for some seconds, in which another one may get the address. Servers with the same start are told
-// apart by their replies only, and one that another server has answered for doesn't count.
-func (t *Table) updateOccupants(address string) (changes []event.StateChanged) {
-	servers := t.addresses[address]
-	last := ""
-	for _, s := range servers {
-		if !s.Superseded {
-			last = max(last, s.Life)
-		}
-	}
-	for _, s := range servers {
-		from := s.state()
-		s.AddressTaken = s.Life < last
-		changes = append(changes, stateChange(s, from, "servers listed at its address have changed")...)
-	}
-	return changes
+	changes := t.occupy(s)
+	return append(changes, stateChange(s, from, "registered")...)
 }
 
 // handleMissing handles a directory entry that is gone. It removes the server at once, or,
@@ -297,8 +270,8 @@
 		return stateChange(s, from, "missing after a directory outage")
 	}
 	t.recordDeparture(now, s)
-	removed := event.StateChanged{Kind: "server", Name: string(s.ID), From: from, To: "unlisted", Cause: "entry removed"}
-	return append([]event.StateChanged{removed}, t.remove(key)...)
+	t.remove(key)
+	return []event.StateChanged{{Kind: "server", Name: string(s.ID), From: from, To: "unlisted", Cause: "entry removed"}}
 }
 
 // RemoveExpired removes the servers that have not registered again in time after a
@@ -314,36 +287,33 @@
 			continue
 		}
 		t.recordDeparture(now, s)
+		t.remove(key)
 		changes = append(changes, event.StateChanged{Kind: "server", Name: string(s.ID), From: "lapsed", To: "unlisted", Cause: "did not register again"})
-		changes = append(changes, t.remove(key)...)
 	}
 	return changes
 }
 
-// remove removes a server. It returns the changes of state of others at its address.
-func (t *Table) remove(key string) []event.StateChanged {
+// remove removes a server.
+func (t *Table) remove(key string) {
 	s := t.servers[key]
 	delete(t.servers, key)
-	isServer := func(o *Server) bool { return o == s }
-	if rest := slices.DeleteFunc(slices.Clone(t.groups[s.Group]), isServer); len(rest) > 0 {
-		t.groups[s.Group] = rest
-	} else {
+	t.vacate(s)
+	rest := slices.DeleteFunc(slices.Clone(t.groups[s.Group]), func(o *Server) bool { return o == s })
+	if len(rest) == 0 {
 		delete(t.groups, s.Group)
+		return
 	}
-	if rest := slices.DeleteFunc(t.addresses[s.Address], isServer); len(rest) > 0 {
-		t.addresses[s.Address] = rest
-	} else {
-		delete(t.addresses, s.Address)
-	}
-	return t.updateOccupants(s.Address)
+	t.groups[s.Group] = rest
 }
 
 // Supersede records that another server answered at a server's address.
 func (t *Table) Supersede(s *Server) []event.StateChanged {
 	from := s.state()
 	s.Superseded = true
-	changes := stateChange(s, from, "another server answers at its address")
-	return append(changes, t.updateOccupants(s.Address)...)
+	if s.address != nil {
+		s.address.stale = true
+	}
+	return stateChange(s, from, "another server answers at its address")
 }
 
 // MarkLeaving records that a server has said that it leaves.
@@ -353,17 +323,12 @@
 	return stateChange(s, from, "it says so in a reply")
 }
 
-// occupant describes the server in logs of its address.
-func (s *Server) occupant() string {
-	return string(s.ID) + " of group " + s.Group + ", data centre " + s.DataCentre + ", started " + s.Life
-}
-
 // state returns the name of the server's state in logs.
 func (s *Server) state() string {
 	switch {
 	case s.Superseded:
 		return "disowned"
-	case s.AddressTaken:
+	case s.addressTaken():
 		return "replaced"
 	case s.Draining:
 		return "draining"
