core/relay: no lookups for requests without regions, none of blocked ones without a new table

The choice of a server looked up the region of each candidate for every request, and a request that found no capacity counted the usable servers of all its groups at each try, although the result was used only after a new table. Both checks come first now. No decision changes; found by reading the change once more. Comments on the record of an address say when it isn't of constant time.

--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -114,8 +114,7 @@
 	}
 	servers, blocked := s.chooseServers(now, q)
 	if blocked != "" {
-		if reason := s.unsatisfiable(now, q); reason != "" && q.Version != s.table.Version {
-			// A new table allows none of the regions that could serve it.
+		if reason := s.unsatisfiableSince(now, q); reason != "" {
 			s.shed.drop(q)
 			s.refuse(now, q, event.RefuseNoReplica, s.retryAfter(now, q, shortRetryAfter), reason)
 			return
@@ -244,6 +243,15 @@
 	return ""
 }
 
+// unsatisfiableSince does the same for a request that was admissible on arrival: a new table may allow none of the
+// regions that could serve it.
+func (s *System) unsatisfiableSince(now time.Time, q *Request) (reason string) {
+	if q.Version == s.table.Version {
+		return ""
+	}
+	return s.unsatisfiable(now, q)
+}
+
 // servable reports whether some server of a leg's group can get the request now or
 // shortly.
 func (s *System) servable(now time.Time, q *Request, l *Leg) bool {
--- a/core/relay/regions.go
+++ b/core/relay/regions.go
@@ -101,6 +101,9 @@
 // allowsRegion reports whether a server is in a region that may execute a request, by the table of its arrival
 // and by the active one: a request may take longer than a new version to be in force.
 func (s *System) allowsRegion(q *Request, b *roster.Server) bool {
+	if !s.restricted(q) {
+		return true
+	}
 	region := s.Options.Regions[b.DataCentre]
 	return q.onArrival().allows(region) && s.inForce(q).allows(region)
 }
--- a/core/roster/address.go
+++ b/core/roster/address.go
@@ -5,8 +5,8 @@
 // This file decides which of the servers that are listed at one address is there. The entry of a server that has
 // ended stays for some seconds, in which another one may get its address.
 
-// address holds the servers that are listed at one address. Another writer may list any number of them, so each
-// change takes constant time.
+// address holds the servers that are listed at one address. Another writer may list any number of them, so a change
+// takes constant time, but for the search for the latest one after that has left or was superseded.
 type address struct {
 	servers map[*Server]struct{}
 	// latest is the one that started last, of those for which no other server has answered; nil if there is none.
@@ -50,7 +50,7 @@
 }
 
 // addressTaken reports whether a server that started later is listed at the address. Servers with the same start are
-// told apart by their replies only.
+// told apart by their replies only. Logs call such a server replaced.
 func (s *Server) addressTaken() bool {
 	a := s.address
 	if a == nil {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -51,7 +51,7 @@
 // Table holds the servers by directory key and by group.
 type Table struct {
 	servers map[string]*Server
-	// groups holds the servers of each group in order of ID.
+	// groups holds the servers of each group in order of ID, and addresses those at each address.
 	groups    map[string][]*Server
 	addresses map[string]*address
 	// evacuated maps a directory key to the data centre that its entry evacuates.
