Log when requests arrived and were sent, count what links and extra attempts use

Nothing told whether a request was dated late, written late or held up behind other bytes: request-ended lines had the time from the engine's tick on, attempts neither the time to connect nor what the server was told is left, links no counters at all.

Lines of a request have queued, network-time, connect and time-left now. Metrics have the bytes and the longest write of links, the part that carries the directory, and the largest part of a retry budget that was seen used. No decision changes.

--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -19,6 +19,8 @@
 	Path string
 	// CallerTimeout is how long the caller waits; zero means not stated.
 	CallerTimeout time.Duration
+	// ReceivedAt is when the first byte of the request had arrived at the machine, as far as that is known.
+	ReceivedAt time.Time
 	// NetworkTime is how much of the caller's waiting time passes in the network: the setup
 	// of a new connection and the transfer of the request and its answer. Zero means that
 	// it is unknown.
@@ -133,6 +135,10 @@
 	Connection uint64
 	// Exchange numbers the exchanges on the connection, from one.
 	Exchange int
+	// Connect is the time that it took to get the connection.
+	Connect time.Duration
+	// TimeLeft is the time for an answer that the request names to the server; zero if none was written.
+	TimeLeft time.Duration
 	// FirstByte is the time from the start of the exchange's write to the first byte of the reply, or
 	// to the failure of the connection.
 	FirstByte time.Duration
@@ -230,7 +236,10 @@
 	Severity LogSeverity
 	// Elapsed is the time from the arrival to the answer.
 	Elapsed time.Duration
-	Steps   []Step
+	// Queued is the time from the first byte of the request to its handling by the engine, and NetworkTime
+	// that of the request.
+	Queued, NetworkTime time.Duration
+	Steps               []Step
 }
 
 // LogSeverity is the importance of a request in logs, by how it ended for its caller.
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -53,6 +53,9 @@
 // serve admits or refuses a request that arrived at arrivedAt.
 func (s *System) serve(now, arrivedAt time.Time, r event.RoutedRequest) {
 	q := &Request{RoutedRequest: r, ArrivedAt: arrivedAt, Version: s.table.Version}
+	if !r.ReceivedAt.IsZero() {
+		q.queued = now.Sub(r.ReceivedAt)
+	}
 	q.Route = s.table.Match(r.Host, r.Path)
 	if q.Route == nil {
 		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
--- a/core/relay/answer.go
+++ b/core/relay/answer.go
@@ -139,7 +139,7 @@
 	s.shed.drop(q)
 	requestLog := event.RequestLog{
 		Query: q.Query, RequestID: q.RequestID, Version: q.Version, Outcome: outcome, Severity: severity, Customer: q.customerName(),
-		Elapsed: now.Sub(q.ArrivedAt), Steps: q.steps,
+		Elapsed: now.Sub(q.ArrivedAt), Queued: q.queued, NetworkTime: q.NetworkTime, Steps: q.steps,
 	}
 	if q.Route != nil {
 		requestLog.Route = q.Route.Name
--- a/core/relay/pool.go
+++ b/core/relay/pool.go
@@ -141,6 +141,9 @@
 		requests += c.weights[group] * float64(sum.Events())
 		othersRequests += c.weights[group] * float64(sum.Others)
 	}
+	if used.Current {
+		s.recordBudgetUse(float64(used.Events()), r.Ratio*requests+r.Slack)
+	}
 	if used.Fresh {
 		slack := r.Slack * used.Scale()
 		limit := r.Ratio*ratioFraction*requests + pooledSlackFraction*slack
@@ -173,3 +176,10 @@
 	}
 	return extra+1 <= s.Usage.Part(now, key, fraction*ownLimit*left)
 }
+
+// recordBudgetUse records how much of a group's whole budget is used.
+func (s *System) recordBudgetUse(extra, allowed float64) {
+	if allowed > 0 {
+		s.Counters.BudgetPeakPerMille = max(s.Counters.BudgetPeakPerMille, uint64(1000*extra/allowed))
+	}
+}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -77,6 +77,8 @@
 	HasCustomers bool
 	Customer     *model.Customer
 	ArrivedAt    time.Time
+	// queued is the time from the first byte of the request to its handling; see event.RequestLog.
+	queued time.Duration
 	// AnswerBy is the time by which the answer must be sent.
 	AnswerBy time.Time
 	Legs     []Leg
@@ -178,12 +180,15 @@
 	AttemptsRetry       uint64 `json:"exchanges-retry"`
 	AttemptsHedge       uint64 `json:"exchanges-hedge"`
 	BudgetExhausted     uint64 `json:"retry-budget-exhausted"`
-	EndedAnswered       uint64 `json:"exchanges-answered"`
-	EndedRefused        uint64 `json:"exchanges-refused"`
-	EndedNotSent        uint64 `json:"exchanges-not-sent"`
-	EndedDied           uint64 `json:"exchanges-died"`
-	EndedTimedOut       uint64 `json:"exchanges-timed-out"`
-	EndedBad            uint64 `json:"exchanges-bad"`
+	// BudgetPeakPerMille is the largest part of the extra attempts that the settings allow for a group, in
+	// 1/1000, that the sums of all instances have shown.
+	BudgetPeakPerMille uint64 `json:"retry-budget-peak-per-mille"`
+	EndedAnswered      uint64 `json:"exchanges-answered"`
+	EndedRefused       uint64 `json:"exchanges-refused"`
+	EndedNotSent       uint64 `json:"exchanges-not-sent"`
+	EndedDied          uint64 `json:"exchanges-died"`
+	EndedTimedOut      uint64 `json:"exchanges-timed-out"`
+	EndedBad           uint64 `json:"exchanges-bad"`
 	// Suspected and Condemned count the fingerprints that this instance found to have been
 	// in flight at a crash, and those that it found to crash servers. Changes received
 	// from peers are not counted.
--- a/io/guard/conn.go
+++ b/io/guard/conn.go
@@ -62,7 +62,8 @@
 	sentAhead, ahead bool
 
 	// early is set once a byte has arrived during a request, after its body.
-	early atomic.Bool
+	early    atomic.Bool
+	arrivals arrivals
 
 	// The following fields are guarded by guard.mu.
 
@@ -178,6 +179,7 @@
 // end is called when a request was answered and the connection is kept.
 func (c *Conn) end() {
 	c.headBytes, c.headLines, c.headCharged = 0, 0, 0
+	c.arrivals.next()
 	c.phase.Store(int32(phaseHead))
 	// A client that has just read its answer may send one more request before the background read of net/http ends.
 	c.sentAhead = c.early.Swap(false) && c.unread() > freeBytes
@@ -213,10 +215,12 @@
 		switch phase(c.phase.Load()) {
 		case phaseBody:
 			c.received.Add(int64(n))
+			c.recordRead()
 			return n, err
 		case phaseHead:
 		case phaseRun:
 			c.early.Store(true)
+			c.recordEarly()
 			return n, err
 		default:
 			return n, err
@@ -227,6 +231,7 @@
 				continue
 			}
 		}
+		c.recordHead()
 		if !c.countHead(p[:n]) {
 			return 0, errHeadRefused
 		}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -114,6 +114,7 @@
 type Guard struct {
 	clock  Clock
 	limits Limits
+	began  time.Time
 	// sweeps counts the sweeps, from 1.
 	sweeps atomic.Int64
 
@@ -133,7 +134,7 @@
 
 // New returns a guard. Run starts its sweeps.
 func New(clock Clock, l Limits) *Guard {
-	g := &Guard{clock: clock, limits: l, holders: map[holder]struct{}{}}
+	g := &Guard{clock: clock, limits: l, began: clock.Now(), holders: map[holder]struct{}{}}
 	g.sweeps.Store(1)
 	return g
 }
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -214,6 +214,7 @@
 		return out
 	})
 	n.stats.Publish("clients", func() any { return n.guard.Status() })
+	n.stats.Publish("links", func() any { return n.peers.Counters() })
 	if n.routed != nil {
 		n.publishRoutedVars()
 	}
--- a/io/node/requestlog.go
+++ b/io/node/requestlog.go
@@ -66,7 +66,8 @@
 		return
 	}
 	line := r.log.Info().Str("request", c.RequestID).Uint64("query", uint64(c.Query)).Str("route", c.Route).
-		Uint64("version", c.Version).Str("outcome", c.Outcome).Dur("elapsed", c.Elapsed)
+		Uint64("version", c.Version).Str("outcome", c.Outcome).Dur("elapsed", c.Elapsed).
+		Dur("queued", c.Queued).Dur("network-time", c.NetworkTime)
 	if c.Customer != "" {
 		line = line.Str("customer", c.Customer)
 	}
@@ -89,7 +90,8 @@
 			line = line.Dur("expected", s.Expected)
 		}
 		if s.Use.Connection > 0 {
-			line = line.Uint64("connection", s.Use.Connection).Int("exchange", s.Use.Exchange).Dur("first-byte", s.Use.FirstByte)
+			line = line.Uint64("connection", s.Use.Connection).Int("exchange", s.Use.Exchange).
+				Dur("connect", s.Use.Connect).Dur("time-left", s.Use.TimeLeft).Dur("first-byte", s.Use.FirstByte)
 		}
 		if s.Cause != "" {
 			line = line.Str("why", s.Cause)
--- a/io/pass/callers.go
+++ b/io/pass/callers.go
@@ -131,6 +131,7 @@
 	routed = event.RoutedRequest{
 		RequestID: raw.RequestID, Host: normalizeHost(r.Host), Path: pathOf(r.RequestURI),
 		Fingerprint: id.Fingerprint, Traits: id.Traits, NetworkTime: networkTime(r.Context()),
+		ReceivedAt: guard.ReceivedAt(r.Context()),
 	}
 	if keys := r.Header[f.keyHeader]; len(keys) == 1 {
 		routed.Key = model.DigestOf(keys[0])
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -70,15 +70,18 @@
 	}
 	deadline := time.Now().Add(timeLeft)
 	request := b.connPool.digestOf(r.RequestID)
+	began := b.clock.Now()
 	conn, err := b.connect(p, c, request, deadline)
 	if err != nil {
 		end.ConnectionRefused, end.Detail = errors.Is(err, syscall.ECONNREFUSED), err.Error()
 		return end
 	}
 	end.Use = b.connPool.beginUse(conn)
-	began := b.clock.Now()
-	err = b.write(conn, c, r)
-	end.Use.FirstByte = b.clock.Now().Sub(began)
+	connected := b.clock.Now()
+	end.Use.Connect = connected.Sub(began)
+	end.Use.TimeLeft = max(time.Millisecond, c.Deadline.Sub(connected))
+	err = b.write(conn, c, r, end.Use.TimeLeft)
+	end.Use.FirstByte = b.clock.Now().Sub(connected)
 	var reply *serverReply
 	if err == nil {
 		reply, err = b.read(conn, r)
@@ -186,12 +189,12 @@
 
 // write writes the request and waits for the first byte of the reply. If it fails, some bytes of the
 // request may have reached the server.
-func (b *BackendClient) write(conn *conn, c event.SendExchange, r *Request) error {
+func (b *BackendClient) write(conn *conn, c event.SendExchange, r *Request, timeLeft time.Duration) error {
 	out, ok := requestBuffers.Get().(*[]byte)
 	if !ok {
 		out = new([]byte)
 	}
-	*out = b.appendRequest((*out)[:0], c, r)
+	*out = b.appendRequest((*out)[:0], c, r, timeLeft)
 	err := conn.writeAndWait(*out)
 	if cap(*out) <= maxPooledBytes {
 		requestBuffers.Put(out)
@@ -216,11 +219,10 @@
 var requestBuffers sync.Pool
 
 // appendRequest appends a request to a server, as it is written to the connection.
-func (b *BackendClient) appendRequest(out []byte, c event.SendExchange, r *Request) []byte {
+func (b *BackendClient) appendRequest(out []byte, c event.SendExchange, r *Request, timeLeft time.Duration) []byte {
 	out = append(out, r.commonHead(b.names, c)...)
-	timeLeft := max(1, c.Deadline.Sub(b.clock.Now()).Milliseconds())
 	out = append(append(out, b.names.CallerTimeout...), ": "...)
-	out = append(strconv.AppendInt(out, timeLeft, 10), "\r\n"...)
+	out = append(strconv.AppendInt(out, timeLeft.Milliseconds(), 10), "\r\n"...)
 	out = append(append(out, b.names.ExpectServer...), ": "...)
 	out = append(append(out, headerValue(string(c.Server))...), "\r\n\r\n"...)
 	return append(out, r.Body...)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -74,6 +74,17 @@
 	PostAndWait(e event.Event)
 }
 
+// Counters counts what was sent over links.
+type Counters struct {
+	MessagesSent uint64 `json:"messages-sent"`
+	BytesSent    uint64 `json:"bytes-sent"`
+	// DirectoryBytesSent is the part of BytesSent that carries changes of the directory.
+	DirectoryBytesSent uint64 `json:"directory-bytes-sent"`
+	BytesReceived      uint64 `json:"bytes-received"`
+	// LongestWriteMicros is the longest time that a link took for a message, in microseconds.
+	LongestWriteMicros int64 `json:"longest-write-us"`
+}
+
 // Hub manages the links of one instance. It is safe for concurrent use.
 type Hub struct {
 	self   model.Instance
@@ -82,6 +93,9 @@
 	client *http.Client
 	group  sync.WaitGroup
 	long   *longMessages
+	// The fields of Counters.
+	messagesSent, bytesSent, directoryBytesSent, bytesReceived atomic.Uint64
+	longestWriteMicros                                         atomic.Int64
 
 	mu    sync.Mutex
 	links map[model.InstanceID]*link
@@ -376,6 +390,7 @@
 			return errors.Wrapf(err, "receive from %s", l.peer.ID)
 		}
 		l.received.Add(1)
+		h.bytesReceived.Add(in.received)
 		received := event.MessageReceived{From: l.peer.ID, Message: m}
 		if long {
 			h.sink.PostAndWait(received)
@@ -394,7 +409,9 @@
 			return
 		case data := <-l.out:
 			writeCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+			began := time.Now()
 			err := l.conn.Write(writeCtx, websocket.MessageBinary, data)
+			h.recordWrite(len(data), time.Since(began))
 			cancel()
 			if err != nil {
 				l.close(err)
@@ -404,6 +421,25 @@
 	}
 }
 
+// Counters returns the counters of the hub.
+func (h *Hub) Counters() Counters {
+	return Counters{
+		MessagesSent: h.messagesSent.Load(), BytesSent: h.bytesSent.Load(), DirectoryBytesSent: h.directoryBytesSent.Load(),
+		BytesReceived: h.bytesReceived.Load(), LongestWriteMicros: h.longestWriteMicros.Load(),
+	}
+}
+
+// recordWrite counts a message that was written.
+func (h *Hub) recordWrite(bytes int, took time.Duration) {
+	h.messagesSent.Add(1)
+	h.bytesSent.Add(uint64(bytes)) //nolint:gosec // not negative
+	for longest := h.longestWriteMicros.Load(); took.Microseconds() > longest; longest = h.longestWriteMicros.Load() {
+		if h.longestWriteMicros.CompareAndSwap(longest, took.Microseconds()) {
+			return
+		}
+	}
+}
+
 // Send queues a message for a peer. It drops the message when there is no link. When the
 // queue is full, it closes the link and returns an error; the hub then connects again.
 func (h *Hub) Send(to model.InstanceID, m event.Message) (err error) {
@@ -418,6 +454,9 @@
 	if err != nil {
 		return err
 	}
+	if m.Directory != nil {
+		h.directoryBytesSent.Add(uint64(len(data)))
+	}
 	select {
 	case l.out <- data:
 	default:
--- a/io/peer/receive.go
+++ b/io/peer/receive.go
@@ -52,6 +52,8 @@
 	// memory is charged for the last message that was received.
 	memory *guard.Reservation
 	long   *longMessages
+	// received is the size of the last message.
+	received uint64
 	// buffer holds a message that is not long, and slot the buffer of a long one that is not released yet.
 	buffer bytes.Buffer
 	slot   *bytes.Buffer
@@ -78,6 +80,7 @@
 	if err != nil {
 		return m, false, err
 	}
+	r.received = uint64(len(data))
 	if int64(len(data)) > r.limit {
 		return m, false, errors.Newf("a message of more than %d bytes", r.limit)
 	}
