core/relay: count a caller's time from the first byte of its request

What callers saw: servers were told of more time than was left, by all the time that a request had waited before the engine handled it: in the accept queue and the socket, while its header section or body arrived, behind another request on its connection, in the engine's inbox.

Cause: ArrivedAt was the time of the engine's tick. Class: a time is measured when we look, not when it happened.

The guard of the callers' connections notes when the first byte of a request arrived; for bytes that waited in the socket the kernel tells their age. The caller's time runs from there. The route's timeout and target run from when the request had arrived completely, so that a slow upload doesn't use them up. A request without time left is refused as not run, with Retry-After.

--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -19,8 +19,9 @@
 	Path string
 	// CallerTimeout is how long the caller waits; zero means not stated.
 	CallerTimeout time.Duration
-	// ReceivedAt is when the first byte of the request had arrived at the machine, as far as that is known.
-	ReceivedAt time.Time
+	// ReceivedAt is when the first byte of the request had arrived at the machine, and CompleteAt when the
+	// whole request had, as far as that is known. Zero means unknown.
+	ReceivedAt, CompleteAt time.Time
 	// NetworkTime is how much of the caller's waiting time passes in the network: the setup
 	// of a new connection and the transfer of the request and its answer. Zero means that
 	// it is unknown.
--- a/core/relay/admit.go
+++ b/core/relay/admit.go
@@ -40,22 +40,31 @@
 // arrives before the directory may wait for it.
 func (s *System) HandleRequest(now time.Time, r event.RoutedRequest) {
 	s.Counters.Arrived++
+	arrivedAt := arrivalTime(now, r)
 	if s.ready() {
-		s.serve(now, now, r)
+		s.serve(now, arrivedAt, r)
 		return
 	}
-	if !s.awaitDirectory(now, r) {
-		q := &Request{RoutedRequest: r, ArrivedAt: now, Version: s.table.Version}
+	if !s.awaitDirectory(now, arrivedAt, r) {
+		q := &Request{RoutedRequest: r, ArrivedAt: arrivedAt, Version: s.table.Version}
 		s.refuse(now, q, event.RefuseNotReady, longRetryAfter, "the directory has not been read yet")
 	}
 }
 
+// arrivalTime returns when a request that is handled now had arrived completely.
+func arrivalTime(now time.Time, r event.RoutedRequest) time.Time { return earlier(now, r.CompleteAt) }
+
+// earlier returns the earlier one of two times, and a if b is zero.
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || b.After(a) {
+		return a
+	}
+	return b
+}
+
 // serve admits or refuses a request that arrived at arrivedAt.
 func (s *System) serve(now, arrivedAt time.Time, r event.RoutedRequest) {
-	q := &Request{RoutedRequest: r, ArrivedAt: arrivedAt, Version: s.table.Version}
-	if !r.ReceivedAt.IsZero() {
-		q.queued = now.Sub(r.ReceivedAt)
-	}
+	q := &Request{RoutedRequest: r, ArrivedAt: arrivedAt, Version: s.table.Version, queued: now.Sub(earlier(now, r.ReceivedAt))}
 	q.Route = s.table.Match(r.Host, r.Path)
 	if q.Route == nil {
 		s.refuse(now, q, event.RefuseUnknownService, 0, fmt.Sprintf("no route for host %q, path %q in version %d", r.Host, r.Path, s.table.Version))
@@ -64,7 +73,7 @@
 	if !s.identifyCustomer(now, q) {
 		return
 	}
-	q.AnswerBy = s.beforeStop(arrivedAt.Add(max(minAnswerTime, timeAtInstance(r, s.answerTimeout(q)))))
+	q.AnswerBy = s.beforeStop(answerBy(q))
 	s.createLegs(q)
 	reason := s.unsatisfiable(now, q)
 	if reason != "" && s.awaitServers(now, arrivedAt, r) {
@@ -83,6 +92,10 @@
 		s.refuse(now, q, event.RefuseNoReplica, s.retryAfter(now, q, longRetryAfter), reason)
 		return
 	}
+	if !now.Before(q.AnswerBy) {
+		s.refuse(now, q, event.RefuseOverload, shortRetryAfter, fmt.Sprintf("it was read %s ago, no time is left", q.queued.Round(time.Millisecond)))
+		return
+	}
 	if s.stopsTooSoon(now, q) {
 		s.refuseStopping(now, q)
 		return
@@ -190,17 +203,19 @@
 	return nil, fmt.Sprintf("%d of %d groups have capacity, group %q has none", withCapacity, len(q.Legs), full)
 }
 
-// answerTimeout returns the maximum time for which the caller of a request waits, from its
-// attempt to connect to the receipt of the answer.
-func (s *System) answerTimeout(q *Request) time.Duration {
-	d := maxAnswerTime
-	if q.CallerTimeout > 0 {
-		d = min(d, q.CallerTimeout)
-	}
+// answerBy returns the time by which the answer to a request must be sent. The caller's time runs from the
+// first byte that it has sent, the route's timeout from when the request had arrived.
+func answerBy(q *Request) time.Time {
+	timeout := maxAnswerTime
 	if q.Route.Timeout > 0 {
-		d = min(d, q.Route.Timeout)
+		timeout = min(timeout, q.Route.Timeout)
+	}
+	by := q.ArrivedAt.Add(max(minAnswerTime, timeAtInstance(q.RoutedRequest, timeout)))
+	if q.CallerTimeout > 0 {
+		receivedAt := earlier(q.ArrivedAt, q.ReceivedAt)
+		by = earlier(by, receivedAt.Add(max(minAnswerTime, timeAtInstance(q.RoutedRequest, q.CallerTimeout))))
 	}
-	return d
+	return by
 }
 
 // timeAtInstance returns the part of a caller's waiting time that this instance may use:
--- a/core/relay/explain.go
+++ b/core/relay/explain.go
@@ -120,7 +120,7 @@
 		RoutedRequest: event.RoutedRequest{Host: question.Host, Path: question.Path},
 		Route:         route, Version: s.table.Version, ArrivedAt: now, HasCustomers: s.table.RequireKeys,
 	}
-	q.AnswerBy = now.Add(timeAtInstance(q.RoutedRequest, s.answerTimeout(q)))
+	q.AnswerBy = answerBy(q)
 	x = Explanation{
 		Instance: s.Self.ID, DataCentre: c.Self.DataCentre, Route: route.Name, Version: s.table.Version,
 		Idempotent: route.Idempotent, TargetMs: route.Target.Milliseconds(),
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -76,8 +76,9 @@
 	// HasCustomers is set if that table has customers; Customer is the request's customer, or nil.
 	HasCustomers bool
 	Customer     *model.Customer
-	ArrivedAt    time.Time
-	// queued is the time from the first byte of the request to its handling; see event.RequestLog.
+	// ArrivedAt is when the request had arrived completely.
+	ArrivedAt time.Time
+	// queued is the time from the first byte of the request until it was handled.
 	queued time.Duration
 	// AnswerBy is the time by which the answer must be sent.
 	AnswerBy time.Time
--- a/core/relay/startup.go
+++ b/core/relay/startup.go
@@ -35,8 +35,8 @@
 // must be refused instead: the directory doesn't answer, or too many requests wait. After a
 // loss of all instances the caller's retry would reach another one that has just started, and
 // callers retry only a few times.
-func (s *System) awaitDirectory(now time.Time, r event.RoutedRequest) bool {
-	return !s.directoryFailed && s.keepEarly(now, now, r)
+func (s *System) awaitDirectory(now, arrivedAt time.Time, r event.RoutedRequest) bool {
+	return !s.directoryFailed && s.keepEarly(now, arrivedAt, r)
 }
 
 // awaitServers keeps a request for which too few servers are registered, if the directory was
--- a/io/guard/arrival.go
+++ b/io/guard/arrival.go
@@ -79,18 +79,32 @@
 }
 
 // ReceivedAt returns when the first byte of the request of a context had arrived at the machine, or the
-// zero time if its connection is not bounded by a guard.
+// zero time if that is not known.
 func ReceivedAt(ctx context.Context) time.Time {
 	c := ConnOf(ctx)
 	if c == nil {
 		return time.Time{}
 	}
-	at := c.arrivals.head.Load()
-	if at == 0 {
-		at = c.arrivals.read.Load()
+	if at := c.arrivals.head.Load(); at != 0 {
+		return c.timeOf(at)
+	}
+	return ReadAt(ctx)
+}
+
+// ReadAt returns when the last bytes of the request of a context were read, or the zero time if that is not
+// known.
+func ReadAt(ctx context.Context) time.Time {
+	c := ConnOf(ctx)
+	if c == nil {
+		return time.Time{}
 	}
+	return c.timeOf(c.arrivals.read.Load())
+}
+
+// timeOf returns the time that a field of arrivals stands for.
+func (c *Conn) timeOf(at int64) time.Time {
 	if at == 0 {
-		return c.guard.clock.Now()
+		return time.Time{}
 	}
 	return c.guard.began.Add(time.Duration(at))
 }
--- a/io/pass/callers.go
+++ b/io/pass/callers.go
@@ -133,6 +133,10 @@
 		Fingerprint: id.Fingerprint, Traits: id.Traits, NetworkTime: networkTime(r.Context()),
 		ReceivedAt: guard.ReceivedAt(r.Context()),
 	}
+	routed.CompleteAt = routed.ReceivedAt
+	if r.ContentLength != 0 {
+		routed.CompleteAt = guard.ReadAt(r.Context())
+	}
 	if keys := r.Header[f.keyHeader]; len(keys) == 1 {
 		routed.Key = model.DigestOf(keys[0])
 	}
