--- a/core/event/event.go
+++ b/core/event/event.go
@@ -79,6 +79,9 @@
 	Body []byte
 	// Timeout is the caller's time limit; zero means the deadline of the class.
 	Timeout time.Duration
+	// ReceivedAt is when the first byte of the request had arrived, as far as that is known; zero means
+	// unknown. Timeout runs from there.
+	ReceivedAt time.Time
 }
 
 // QueryArrived reports a new request.
--- a/core/query/admit.go
+++ b/core/query/admit.go
@@ -73,9 +73,12 @@
 	timeout := time.Duration(class.Deadline)
 	if r.Timeout > 0 {
 		timeout = min(timeout, r.Timeout)
+		if !r.ReceivedAt.IsZero() {
+			timeout = min(timeout, r.Timeout-now.Sub(r.ReceivedAt))
+		}
 	}
 	if timeout < minTimeout {
-		return nil, refuse(event.RefuseDeadline, 0, "deadline %s is too short: want %s or more", timeout, minTimeout)
+		return nil, refuse(event.RefuseDeadline, 0, "%s are left until the deadline, want %s or more", timeout, minTimeout)
 	}
 	q := &Query{
 		ID: id, Request: r, Class: class, ArrivedAt: now,
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -33,7 +33,7 @@
 // Headers of the interface for callers; docs/callers.md describes them.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderDeadline is the caller's deadline, in milliseconds from the request's arrival.
+	// HeaderDeadline is the caller's deadline, in milliseconds from the arrival of the request's first byte.
 	HeaderDeadline = "Hyssoppitch-Deadline-Ms"
 )
 
@@ -178,7 +178,7 @@
 	}
 	return event.Request{
 		Service: r.PathValue("service"), Class: q.Class, Key: q.Key,
-		IdempotencyKey: key, Body: q.Query, Timeout: timeout,
+		IdempotencyKey: key, Body: q.Query, Timeout: timeout, ReceivedAt: guard.ReceivedAt(r.Context()),
 	}, nil
 }
 
