core/relay: leave the time on the way out of what servers are told is left

Cause: the time left was that at the write. The round trip to callers is measured once a connection, and nothing was measured towards servers.

Pings go to all peers twice a second already. The first answer to each gives the time to the nearest peer and back, with what messages wait for this machine's link and processor; while none has come, the age of the ping is its lower bound. Each attempt names this time, and its server is told of that much less, but of half of the time left at least. It's an estimate: what begins to wait within half a second isn't seen.

--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -159,7 +159,7 @@
 			Self: self, Options: *o.Relay, Servers: e.Roster, Out: e,
 			Rand:     rand.New(rand.NewPCG(o.Seed+1, uint64(self.Incarnation))),
 			Suspects: e.Suspects, Broadcaster: e, StartedAt: now,
-			Usage: e.Usage, Quotas: e.Quotas, Reports: e.Reports,
+			Usage: e.Usage, Quotas: e.Quotas, Reports: e.Reports, Network: e.Members,
 		}
 		e.Rollouts = rollo.New(o.Rollouts)
 		counts := rollo.NewExchange()
--- a/core/engine/maintenance.go
+++ b/core/engine/maintenance.go
@@ -83,6 +83,7 @@
 // pingPeers pings every linked peer when a ping is due.
 func (e *Engine) pingPeers(now time.Time) {
 	if e.maintenanceCount%uint64(member.PingInterval/maintenanceInterval) == 0 {
+		e.Members.RecordPing(now)
 		e.Broadcast(event.Message{Ping: &event.Ping{
 			SentAt: now.UnixNano(), ViewDigest: e.Members.Digest(), ConfigVersion: e.config.active.Version,
 			StoreEra: e.knownStoreEra(now),
--- a/core/engine/peers.go
+++ b/core/engine/peers.go
@@ -65,7 +65,7 @@
 	case m.Ping != nil:
 		e.handlePing(now, from, m.Ping)
 	case m.Pong != nil:
-		e.Members.RecordPong(from, time.Unix(0, m.Pong.SentAt))
+		e.Members.RecordPong(now, from, time.Unix(0, m.Pong.SentAt))
 		e.receiveStoreEra(now, m.Pong.StoreEra)
 		e.comparePeerState(now, from, m.Pong.ViewDigest, m.Pong.ConfigVersion)
 	case m.Members != nil:
--- a/core/event/routed.go
+++ b/core/event/routed.go
@@ -70,6 +70,9 @@
 	FreshConnection bool
 	// Deadline is the time after which the reply is no longer awaited.
 	Deadline time.Time
+	// NetworkTime is how much of the time until then passes before the request reaches the server and
+	// after its reply has left, at least. The server isn't told of it.
+	NetworkTime time.Duration
 	// HasCustomers is set if the request's routing table has customers. The server then gets
 	// Customer, the name of the request's customer, and neither the key nor what the caller sent as
 	// the name. Customer is empty for a public request without a customer.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -91,6 +91,8 @@
 	listed []model.Instance
 	// preferred holds instances to which this one keeps links besides, in order of ID.
 	preferred []model.InstanceID
+	// pings tells how long pings to peers take.
+	pings pings
 	// left is set once this instance has left.
 	left bool
 	// neighbours and digest are cached. stale is set when the view or the list has changed
@@ -184,7 +186,8 @@
 }
 
 // RecordPong records that a ping that was sent at sentAt was answered.
-func (v *View) RecordPong(id model.InstanceID, sentAt time.Time) {
+func (v *View) RecordPong(now time.Time, id model.InstanceID, sentAt time.Time) {
+	v.pings.answered(now, sentAt)
 	if m := v.Get(id); m != nil && sentAt.After(m.AnsweredPingSentAt) {
 		m.AnsweredPingSentAt = sentAt
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -122,7 +122,7 @@
 			v.SetListed(listed)
 			for _, n := range test.contact {
 				v.Link(start, instance(n))
-				v.RecordPong(instance(n).ID, now)
+				v.RecordPong(now, instance(n).ID, now)
 			}
 			if got := v.QuorumContact(now).Equal(now); got != test.want {
 				t.Errorf("got %t, want %t", got, test.want)
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -182,7 +182,7 @@
 	q.addStep(now, event.Step{Decision: decision, Server: b.ID, Group: l.Group, DataCentre: b.DataCentre, Expected: expectedLatency})
 	s.Out.Emit(event.SendExchange{
 		Attempt: a.ID, RequestID: q.RequestID, Server: b.ID, Address: b.Address,
-		Connections: s.connectionLimit(l.Group), FreshConnection: !q.Route.Idempotent, Deadline: q.AnswerBy,
+		Connections: s.connectionLimit(l.Group), FreshConnection: !q.Route.Idempotent, Deadline: q.AnswerBy, NetworkTime: s.roundTrip(now),
 		HasCustomers: q.HasCustomers, Customer: q.customerName(),
 	})
 	a.OverdueAt = now.Add(hedgeAfter(expectedLatency))
@@ -197,6 +197,14 @@
 	}
 }
 
+// roundTrip returns how much of an attempt's time passes between this instance and a near server.
+func (s *System) roundTrip(now time.Time) time.Duration {
+	if s.Network == nil {
+		return 0
+	}
+	return s.Network.RoundTrip(now)
+}
+
 // recordSent counts an attempt and returns the name of its kind in the request log.
 func (s *System) recordSent(now time.Time, group string, kind attemptKind) string {
 	switch kind {
--- a/core/relay/load_test.go
+++ b/core/relay/load_test.go
@@ -465,3 +465,49 @@
 		})
 	}
 }
+
+// waitingLink is a network on which messages wait for the instance's own link.
+type waitingLink struct{ wait time.Duration }
+
+func (l *waitingLink) RoundTrip(time.Time) time.Duration { return l.wait }
+
+// TestAttemptsNameTheTimeOnTheWay guards against attempts whose servers get the time as well that requests
+// wait for a busy link: first ones, hedges and retries name the time that messages take at present.
+func TestAttemptsNameTheTimeOnTheWay(t *testing.T) {
+	w := newSimulation(1, 8, gatherRoute())
+	link := &waitingLink{wait: 3 * ms}
+	w.Network = link
+	recorder := &networkTimes{simulation: w}
+	w.Out = recorder
+	w.runLoad(20, time.Second)
+	link.wait = 600 * ms
+	recorder.want = link.wait
+	w.eachServer(func(i int, s *simServer) {
+		s.slowdown = 4
+		s.shedFraction = 0.2
+	})
+	w.runLoad(20, time.Second)
+	if recorder.sent == 0 || w.Counters.AttemptsHedge == 0 || w.Counters.AttemptsRetry == 0 {
+		t.Errorf("got %d attempts, %d hedges and %d retries, want some of each", recorder.sent, w.Counters.AttemptsHedge, w.Counters.AttemptsRetry)
+	}
+	if recorder.wrong > 0 {
+		t.Errorf("%d of %d attempts don't name the time of %v", recorder.wrong, recorder.sent, recorder.want)
+	}
+}
+
+// networkTimes counts the attempts that don't name the time that messages take.
+type networkTimes struct {
+	*simulation
+	want        time.Duration
+	sent, wrong int
+}
+
+func (r *networkTimes) Emit(c event.Command) {
+	if c, ok := c.(event.SendExchange); ok && r.want > 0 {
+		r.sent++
+		if c.NetworkTime != r.want {
+			r.wrong++
+		}
+	}
+	r.simulation.Emit(c)
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -32,6 +32,13 @@
 	Broadcast(m event.Message)
 }
 
+// Network tells how long messages take.
+type Network interface {
+	// RoundTrip returns the time to the nearest peer and back, with what messages wait at this
+	// instance. Zero means that it is not known.
+	RoundTrip(now time.Time) time.Duration
+}
+
 // Options are the settings of a System.
 type Options struct {
 	// Regions maps each data centre to its region.
@@ -62,6 +69,8 @@
 	// which they are judged. Nil means that versions play no part.
 	Rollouts *rollo.Table
 	Answers  rollo.Counter
+	// Network may be nil.
+	Network Network
 	// StartedAt is when the instance started.
 	StartedAt time.Time
 	// Usage sums requests and extra attempts over all instances; nil if they are not summed.
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -79,7 +79,7 @@
 	end.Use = b.connPool.beginUse(conn)
 	connected := b.clock.Now()
 	end.Use.Connect = connected.Sub(began)
-	end.Use.TimeLeft = max(time.Millisecond, c.Deadline.Sub(connected))
+	end.Use.TimeLeft = timeAtServer(c.Deadline.Sub(connected), c.NetworkTime)
 	err = b.write(conn, c, r, end.Use.TimeLeft)
 	end.Use.FirstByte = b.clock.Now().Sub(connected)
 	var reply *serverReply
@@ -132,6 +132,12 @@
 	return end
 }
 
+// timeAtServer returns the part of the time for an exchange that the server may use. At most half of it is
+// set aside for the network, whose state may have changed since it was measured.
+func timeAtServer(timeLeft, networkTime time.Duration) time.Duration {
+	return max(time.Millisecond, timeLeft-min(networkTime, timeLeft/2))
+}
+
 // Check reports whether a server accepts connections. It opens a new one, because the
 // idle ones may still look open when the server has crashed. The new connection is kept
 // for the next exchange.
