core/relay: hedge few legs of a request before one is answered

The hedges wait behind the same bytes and use up the budgets of all groups, at all services.

Cause: each leg is judged by itself.

A request may have four legs with a hedge in flight, and eight more for each answered leg: the first ones show whether other servers answer. If even the first answer is late while most first attempts are overdue, the others get as much more time.

TestLostDataCentreIsBypassed passes before and after: all requests in time when the data centre that most legs go to falls silent.

--- a/core/relay/legs.go
+++ b/core/relay/legs.go
@@ -130,6 +130,7 @@
 func (s *System) completeLeg(now time.Time, q *Request, a *Attempt, r *event.Reply) {
 	l := &q.Legs[a.Leg]
 	l.State, l.Reply = LegAnswered, r
+	q.recordDelay(now, a)
 	q.OpenLegs--
 	q.AnsweredLegs++
 	s.scheduleLoserCancel(now, l)
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -86,6 +86,9 @@
 	// OpenLegs counts the legs in state LegOpen, AnsweredLegs those in state LegAnswered.
 	OpenLegs     int
 	AnsweredLegs int
+	// delay is the time by which all attempts are expected to be late, since the first answer was; zero if
+	// it wasn't, or another one has come in time.
+	delay time.Duration
 	// HoldCount counts how often the request waited for capacity before its first
 	// attempt was sent.
 	HoldCount int
@@ -180,7 +183,9 @@
 	AttemptsFirst       uint64 `json:"exchanges-first"`
 	AttemptsRetry       uint64 `json:"exchanges-retry"`
 	AttemptsHedge       uint64 `json:"exchanges-hedge"`
-	BudgetExhausted     uint64 `json:"retry-budget-exhausted"`
+	// HedgesDelayed counts how often a hedge waited because many legs of its request were late.
+	HedgesDelayed   uint64 `json:"hedges-delayed"`
+	BudgetExhausted uint64 `json:"retry-budget-exhausted"`
 	// BudgetPeakPerMille is the largest part of the extra attempts that the settings allow for a group, in
 	// 1/1000, that the sums of all instances have shown.
 	BudgetPeakPerMille uint64 `json:"retry-budget-peak-per-mille"`
--- a/core/relay/simulation_test.go
+++ b/core/relay/simulation_test.go
@@ -61,6 +61,8 @@
 	serviceTime time.Duration
 	// remoteDelay is the one-way network delay to servers in other data centres.
 	remoteDelay time.Duration
+	// linkFreeAt is when the instance's own link is free: what is sent before waits until then.
+	linkFreeAt time.Time
 	// callerDelay is the one-way network delay to the callers, which open a new connection for
 	// each request; zero means that it is unknown to the system.
 	callerDelay time.Duration
@@ -226,6 +228,9 @@
 		return
 	}
 	arrive := w.now.Add(networkDelay)
+	if w.linkFreeAt.After(w.now) {
+		arrive = w.linkFreeAt.Add(networkDelay)
+	}
 	s.arrivals = append(s.arrivals, arrive)
 	w.groupArrivals[s.group] = append(w.groupArrivals[s.group], arrive)
 	slot := 0
