io: compress each update once, share the access to sockets, read clocks once

- An update that compression doesn't make smaller was compressed again for each peer.
Both forms are made once an update now.
- unread and socketAge of a connection spelled out what Conn.SyscallConn does.
- The first read of a request read the clock twice, and so did the start of an exchange.
- The bytes of the directory were counted in a second check of the same condition.

Tests of io, unchanged, pass with the race detector.

--- a/io/guard/ahead.go
+++ b/io/guard/ahead.go
@@ -1,8 +1,6 @@
 package guard
 
 import (
-	"syscall"
-
 	"golang.org/x/sys/unix"
 )
 
@@ -54,11 +52,7 @@
 
 // unread returns the number of bytes that have arrived and are not read.
 func (c *Conn) unread() (n int) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
--- a/io/guard/arrival.go
+++ b/io/guard/arrival.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,20 +28,21 @@
 
 // recordHead is called when bytes of a header section were read.
 func (c *Conn) recordHead() {
-	c.recordRead()
+	now := c.sinceStart()
+	c.arrivals.read.Store(now)
 	if c.arrivals.head.Load() == 0 {
-		c.arrivals.head.Store(c.firstByteAt())
+		c.arrivals.head.Store(c.firstByteAt(now))
 	}
 }
 
 // recordEarly is called when a byte was read during the execution of a request.
 func (c *Conn) recordEarly() {
 	if c.arrivals.early.Load() == 0 {
-		c.arrivals.early.Store(c.firstByteAt())
+		c.arrivals.early.Store(c.firstByteAt(c.sinceStart()))
 	}
 }
 
-// recordRead is called when bytes of a request were read.
+// recordRead is called when bytes of a body were read.
 func (c *Conn) recordRead() { c.arrivals.read.Store(c.sinceStart()) }
 
 // sinceStart returns the time since the start of the guard in nanoseconds, at least 1.
@@ -50,22 +50,17 @@
 	return max(1, int64(c.guard.clock.Now().Sub(c.guard.began)))
 }
 
-// firstByteAt returns when the bytes arrived that were read just now.
-func (c *Conn) firstByteAt() int64 {
-	at := c.sinceStart()
+// firstByteAt returns when the bytes arrived that were read now.
+func (c *Conn) firstByteAt(now int64) int64 {
 	if age := c.socketAge(); age >= minSocketAge {
-		at = max(1, at-int64(age))
+		return max(1, now-int64(age))
 	}
-	return at
+	return now
 }
 
 // socketAge returns the time since the last bytes arrived in the socket, or 0 if that is not known.
 func (c *Conn) socketAge() (age time.Duration) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
--- a/io/pass/exchange.go
+++ b/io/pass/exchange.go
@@ -63,14 +63,14 @@
 func (b *BackendClient) Exchange(p *PendingExchange, c event.SendExchange, r *Request) (end event.ExchangeEnded) {
 	defer b.end(p)
 	end = event.ExchangeEnded{Attempt: c.Attempt, Server: c.Server, Kind: event.NotSent}
-	timeLeft := c.Deadline.Sub(b.clock.Now())
+	began := b.clock.Now()
+	timeLeft := c.Deadline.Sub(began)
 	if timeLeft <= 0 {
 		end.Detail = "the deadline has passed"
 		return end
 	}
 	deadline := time.Now().Add(timeLeft)
 	request := b.connPool.digestOf(r.RequestID)
-	began := b.clock.Now()
 	conn, err := b.connect(p, c, request, deadline)
 	if err != nil {
 		end.ConnectionRefused, end.Detail = errors.Is(err, syscall.ECONNREFUSED), err.Error()
--- a/io/peer/compress.go
+++ b/io/peer/compress.go
@@ -29,35 +29,43 @@
 type updateEncoder struct {
 	mu   sync.Mutex
 	last *event.DirectoryUpdate
-	// plain and deflated are the encoded forms of last, or nil.
-	plain, deflated []byte
+	// plain and small are the encoded forms of last: small is compressed if that makes it smaller, and is
+	// plain otherwise.
+	plain, small []byte
 }
 
-// encode returns the message that carries an update, which must not change any more. It is compressed if
-// that makes it smaller and the peer inflates messages.
+// encode returns the message that carries an update, which must not change any more. Peers that inflate
+// messages get its smaller form.
 func (e *updateEncoder) encode(u *event.DirectoryUpdate, inflates bool) (data []byte, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.last != u {
-		e.last, e.plain, e.deflated = u, nil, nil
-	}
-	if inflates && e.deflated != nil {
-		return e.deflated, nil
-	}
-	if e.plain == nil {
-		if e.plain, err = cbor.Marshal(event.Message{Directory: u}); err != nil {
+		plain, err := cbor.Marshal(event.Message{Directory: u})
+		if err != nil {
+			return nil, err
+		}
+		small, err := smaller(plain)
+		if err != nil {
 			return nil, err
 		}
+		e.last, e.plain, e.small = u, plain, small
 	}
-	if !inflates || len(e.plain) < minDeflate {
-		return e.plain, nil
+	if inflates {
+		return e.small, nil
+	}
+	return e.plain, nil
+}
+
+// smaller returns the message that carries a compressed one, or the message itself if that is not smaller.
+func smaller(message []byte) (data []byte, err error) {
+	if len(message) < minDeflate {
+		return message, nil
 	}
-	data, err = deflate(e.plain)
-	if err != nil || len(data) > maxDeflated || len(data) >= len(e.plain) {
-		return e.plain, err
+	data, err = deflate(message)
+	if len(data) > maxDeflated || len(data) >= len(message) {
+		data = message
 	}
-	e.plain, e.deflated = nil, data
-	return data, nil
+	return data, err
 }
 
 // deflaters holds unused compressors. Each has tables of some 100 KB.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -456,15 +456,13 @@
 	var data []byte
 	if m.Directory != nil {
 		data, err = h.update.encode(m.Directory, l.inflates)
+		h.directoryBytesSent.Add(uint64(len(data)))
 	} else {
 		data, err = cbor.Marshal(m)
 	}
 	if err != nil {
 		return err
 	}
-	if m.Directory != nil {
-		h.directoryBytesSent.Add(uint64(len(data)))
-	}
 	select {
 	case l.out <- data:
 	default:
